--- a/src/bin/merlinpitch-simhost/conf.rs
+++ b/src/bin/indigohold-benchlink/conf.rs
@@ -1,7 +1,7 @@
 //! The settings document of `Spawn` as the module's settings. Unknown keys are passed over, absent ones stay
 //! absent.
 
-use merlinpitch::{
+use indigohold::{
     Class, DiscoveryMode, Effect, Fade, Group, Kind, Limits, Micros, Rules, Settings, Tenant, Weights,
 };
 use serde::Deserialize;
--- a/src/bin/merlinpitch-simhost/main.rs
+++ b/src/bin/indigohold-benchlink/main.rs
@@ -4,7 +4,7 @@
 mod conf;
 mod wire;
 
-use merlinpitch::{Event, Micros, Sender};
+use indigohold::{Event, Micros, Sender};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -12,11 +12,11 @@
 use wire::{Record, Reply, Tables};
 
 fn main() -> ExitCode {
-    std::panic::set_hook(Box::new(|info| eprintln!("merlinpitch-simhost: {info}")));
+    std::panic::set_hook(Box::new(|info| eprintln!("indigohold-benchlink: {info}")));
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("merlinpitch-simhost: {message}");
+            eprintln!("indigohold-benchlink: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/merlinpitch-simhost/wire.rs
+++ b/src/bin/indigohold-benchlink/wire.rs
@@ -1,6 +1,6 @@
 //! The binary wire: big-endian frames of records, as bytes in and bytes out.
 
-use merlinpitch::{
+use indigohold::{
     Action, ClassId, DestinationId, EndpointId, Entry, Event, Key, KindId, Listed, Message, MessageId,
     Micros, Outcome, PeerId, TenantId, TimerToken, ZoneId,
 };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,4 +1,4 @@
-//! All decisions of merlinpitch. The interface (settings, events, actions, ids, outcomes) is in `src/api.rs`.
+//! All decisions of indigohold. The interface (settings, events, actions, ids, outcomes) is in `src/api.rs`.
 //!
 //! Plain state, without a decision, is in `src/state.rs`. Reading order: tuned values; the design
 //! (`RetryBudget`, `backoff`, `Pace`); the guards around it (`Endpoint`); then `Sender`: what it learns from
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //! events, carry out actions.
 //!
 //! ```
-//! use merlinpitch::*;
+//! use indigohold::*;
 //!
 //! let settings = Settings {
 //!     senders: 1,
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -8,7 +8,7 @@
   "familyInfo":{"slots":8,"bundleMax":[1],"kindApart":[false]},"limits":{"maxOpen":9,"tryLimit":8}}"#;
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_merlinpitch-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_indigohold-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A sender and its clock for tests; feeds events, keeps the actions of the last round.
 #![allow(dead_code)]
 
-use merlinpitch::*;
+use indigohold::*;
 
 pub const S: u64 = 1_000_000;
 
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use merlinpitch::*;
+use indigohold::*;
 
 #[test]
 fn a_message_goes_at_once_and_is_over_when_delivered() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::{class, endpoint, entry, settings, S};
-use merlinpitch::*;
+use indigohold::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use merlinpitch::*;
+use indigohold::*;
 
 /// One of 255 senders; a destination with a listed limit.
 fn one_of_many() -> Settings {
