Build the mail front: SMTP and LMTP in and out, zone files and dynamic updates

Saw: the core had one front. Built: a second one on the same core, off unless deploy/mail.json turns it on. One req for each recipient; over mail a class whose repeats the platform drops is one that must not be repeated (nobody there drops them), so the module fails it once it may have run. A message handed in again is recognised by sender, recipient and Message-ID, also after its end and over restarts. Lists are kept apart by front in the core.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -911,7 +911,9 @@
         }
         let usual = e.upper().map_or(held.aim, |u| Micros::from_secs(u * TIMEOUT_LATENCIES));
         let doubled = usual.max(TIMEOUT_MIN).scale(f64::from(1 << e.timeouts.min(10)));
-        let mut timeout = doubled.min(held.aim.scale(TIMEOUT_AIMS)).min(held.message.due - now);
+        // Danger: what can't be repeated gains nothing from being given up early; its answer is waited for.
+        let patience = if held.effect == Effect::Unsafe { held.message.due } else { doubled };
+        let mut timeout = patience.min(held.aim.scale(TIMEOUT_AIMS)).min(held.message.due - now);
         if let Effect::Keyed { window, .. } = held.effect {
             timeout = timeout.min(window.scale(TIMEOUT_OF_WINDOW));
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -33,6 +33,8 @@
     pub discovery: Option<String>,
     /// The folder that lasts.
     pub state: PathBuf,
+    /// The mail front's file; there need not be one.
+    pub mail: PathBuf,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that may be held.
@@ -60,6 +62,7 @@
         listen: env::var("NODE_LISTEN").ok().or(file.listen),
         discovery: env::var("NODE_DISCOVERY").ok().or(file.discovery),
         state: PathBuf::from(state),
+        mail: env::var("NODE_MAIL").unwrap_or_else(|_| "deploy/mail.json".to_owned()).into(),
         seed,
         sockets: file.limits.sockets.unwrap_or(1024).clamp(64, 65_536),
         disk_mb: file.limits.disk_mb.unwrap_or(64.0),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -24,7 +24,8 @@
 }
 
 impl Clock {
-    fn new() -> Clock {
+    /// Reads the wall clock, once.
+    pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix: Micros(unix.as_micros() as u64) }
     }
@@ -79,8 +80,7 @@
 
 impl Courier {
     /// Takes up what the journal says is owed.
-    pub fn new(settings: Settings, seed: u64, journal: Journal) -> Courier {
-        let clock = Clock::new();
+    pub fn new(settings: Settings, seed: u64, clock: Clock, journal: Journal) -> Courier {
         let (out, orders) = crossbeam_channel::unbounded();
         let now = clock.now();
         let next_msg = journal.owed().keys().next_back().map_or(0, |m| m + 1).max(now.0);
@@ -158,12 +158,12 @@
         let owed = self.journal.owed().clone();
         let mut events = Vec::new();
         for (id, owed) in owed {
-            let req = Arc::new(owed.req);
+            let req = owed.req;
             self.by_id.insert(req.id.clone(), id);
             let over = owed.verdict.is_some();
             self.msgs.insert(id, Msg { req: req.clone(), tries: owed.tries as u8, parked: None, over });
             if let Some(verdict) = owed.verdict {
-                let _ = self.out.send(Order::Notice(Notice { msg: id, req, verdict }));
+                let _ = self.out.send(Order::Notice(Notice { msg: id, req, verdict, said: owed.said }));
                 continue;
             }
             // A fetch without an outcome may have run.
@@ -188,8 +188,10 @@
             }
             Report::Withdrawn(msg) => self.withdrawn(now, msg),
             Report::Begin(fetch) => return Answer::Go(self.begin(now, &fetch)),
-            Report::Done { fetch, end, latency, load } => self.done(now, &fetch, end, latency, load),
-            Report::Told(msg) => self.forget(msg),
+            Report::Done { fetch, end, latency, load, said } => {
+                self.done(now, &fetch, end, latency, load, said);
+            }
+            Report::Told(msg) => self.forget(now, msg),
             Report::List { front, whole, backends, fresh } => {
                 self.fresh |= fresh;
                 self.list(now, front, whole, backends);
@@ -201,9 +203,9 @@
 
     /// Taken or refused at once. The journal has it before the answer says so.
     fn take(&mut self, now: Micros, req: Req) -> Answer {
-        if let Some(msg) = self.by_id.get(&req.id) {
-            // Handed in again under the same id: its answer was lost on the way, and it is still owed once.
-            return Answer::Taken(*msg);
+        // Handed in again under the same id: its answer was lost on the way, and it is owed, or was answered, once.
+        if self.by_id.contains_key(&req.id) || self.journal.knows(&req.id, now) {
+            return Answer::Known;
         }
         if !self.dests.contains(&req.dest) {
             return if self.fresh { Answer::NoSuchDest } else { Answer::Refused(STAY_AWAY) };
@@ -213,6 +215,7 @@
         }
         let id = self.next_msg;
         let event = Event::Demand(message(id, &req));
+        let req = Arc::new(req);
         match self.journal.take(id, req.clone()) {
             Ok(true) => {}
             Ok(false) => return Answer::Refused(STAY_AWAY),
@@ -223,17 +226,17 @@
         }
         self.next_msg += 1;
         self.by_id.insert(req.id.clone(), id);
-        let msg = Msg { req: Arc::new(req), tries: 0, parked: Some(Vec::new()), over: false };
+        let msg = Msg { req, tries: 0, parked: Some(Vec::new()), over: false };
         self.msgs.insert(id, msg);
         let mut refused = None;
         self.feed(now, &[event], Some((id, &mut refused)));
         match refused {
             Some(Verdict::HandedBack(wait)) => {
-                self.forget(id);
+                self.forget(now, id);
                 Answer::Refused(wait)
             }
             Some(Verdict::GivenUp) => {
-                self.forget(id);
+                self.forget(now, id);
                 Answer::Refused(STAY_AWAY)
             }
             None => Answer::Taken(id),
@@ -249,7 +252,7 @@
                 events.push(returned(&fetch, Outcome::Moot, true, Micros(0), Vec::new()));
             }
         }
-        self.forget(msg);
+        self.forget(now, msg);
         self.feed(now, &events, None);
     }
 
@@ -270,7 +273,7 @@
         }
     }
 
-    fn done(&mut self, now: Micros, fetch: &Fetch, end: End, latency: Micros, load: Vec<f32>) {
+    fn done(&mut self, now: Micros, fetch: &Fetch, end: End, latency: Micros, load: Vec<f32>, said: String) {
         if end == End::Unsent && self.stop_at.is_some_and(|at| now + LAST_BEGIN >= at) {
             return; // the next life takes it up, with no attempt counted
         }
@@ -279,19 +282,22 @@
             End::Failed => (Outcome::Error, false),
             End::TurnedAway(wait) => (Outcome::Full(wait), false),
             End::Unsent => (Outcome::Moot, false),
-            End::Over => (Outcome::Moot, true),
+            End::Over | End::Rejected => (Outcome::Moot, true),
             End::NotConnected => (Outcome::ConnectFailed, false),
             End::Broke => (Outcome::Reset, false),
             End::TimedOut => (Outcome::Timeout, false),
             End::CalledOff => (Outcome::Cancelled, false),
         };
-        let written = match over {
-            true => self.journal.end(fetch.msg),
-            false => self.journal.outcome(fetch.msg, end.may_have_run()),
-        };
-        written.unwrap_or_else(|e| self.broken(e));
-        if over {
-            self.drop_msg(fetch.msg);
+        if end != End::Delivered {
+            let written = self.journal.outcome(fetch.msg, end.may_have_run(), &said);
+            written.unwrap_or_else(|e| self.broken(e));
+        }
+        match end {
+            End::Delivered | End::Over => self.forget(now, fetch.msg),
+            End::Rejected if self.msgs.get(&fetch.msg).is_some_and(|m| !m.over) => {
+                self.verdict(fetch.msg, Verdict::GivenUp, &mut None);
+            }
+            _ => {}
         }
         self.feed(now, &[returned(fetch, outcome, over, latency, load)], None);
     }
@@ -388,7 +394,8 @@
         self.journal.verdict(msg, verdict).unwrap_or_else(|e| self.broken(e));
         let Some(held) = self.msgs.get_mut(&msg) else { return };
         held.over = true;
-        let notice = Order::Notice(Notice { msg, req: held.req.clone(), verdict });
+        let said = self.journal.owed().get(&msg).map(|o| o.said.clone()).unwrap_or_default();
+        let notice = Order::Notice(Notice { msg, req: held.req.clone(), verdict, said });
         match &mut held.parked {
             Some(parked) => parked.push(notice),
             None => self.order(notice),
@@ -400,8 +407,8 @@
         let _ = self.out.send(order);
     }
 
-    fn forget(&mut self, msg: u64) {
-        self.journal.end(msg).unwrap_or_else(|e| self.broken(e));
+    fn forget(&mut self, now: Micros, msg: u64) {
+        self.journal.end(msg, now).unwrap_or_else(|e| self.broken(e));
         self.drop_msg(msg);
     }
 
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -30,6 +30,8 @@
     pub req: Arc<Req>,
     /// Its end.
     pub verdict: Verdict,
+    /// What a backend last said of it.
+    pub said: String,
 }
 
 /// What is to be done next.
@@ -67,6 +69,8 @@
     Unsent,
     /// Not sent, and nothing more is owed.
     Over,
+    /// The backend will never take it; it never ran, and its client must be told.
+    Rejected,
     /// No connection, or it broke before the last byte was written: it never ran.
     NotConnected,
     /// The connection broke after that.
@@ -134,6 +138,8 @@
         latency: Micros,
         /// What the backend told of its load, in the order of the settings.
         load: Vec<f32>,
+        /// Its last word, where it has words.
+        said: String,
     },
     /// The client has been told the end of this message.
     Told(u64),
@@ -157,6 +163,8 @@
 pub enum Answer {
     /// The message is taken on.
     Taken(u64),
+    /// It was taken on before under this id; it is not taken twice.
+    Known,
     /// A synthetic answer: refused, come back after so long.
     Refused(Micros),
     /// No backend was ever listed for this destination.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,8 @@
 //! The courier as a daemon: reads its configuration, takes up what is owed, and serves its fronts.
 
 use indigohold::config::{self, Config};
-use indigohold::core::{Courier, Report};
-use indigohold::net::{self, platform};
+use indigohold::core::{Clock, Courier, Report};
+use indigohold::net::{self, mail, platform};
 use indigohold::store::Journal;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
@@ -14,6 +14,9 @@
 const CLOSE: Duration = Duration::from_millis(3_100);
 const EXIT: Duration = Duration::from_millis(3_400);
 
+/// Starts a front's listeners.
+type Serve = Box<dyn FnOnce() -> std::io::Result<()>>;
+
 fn main() -> ExitCode {
     match config::read().and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
@@ -28,26 +31,48 @@
     // First of all: from here on SIGTERM is heard and not fatal.
     let terms = [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT];
     let mut signals = signal_hook::iterator::Signals::new(terms).map_err(|e| format!("signals: {e}"))?;
-    let known = config.known;
-    let (settings, names) = config.settings.split()?;
+    let (known, state) = (config.known, config.state);
+    let (mut settings, names) = config.settings.split()?;
+    let mail_config = mail::config::read(&config.mail, &mut settings, &names)?;
+    if config.listen.is_none() && mail_config.is_none() {
+        return Err("listen: not set, and the mail front is off".into());
+    }
     let slots = settings.limits.slots.map_or(64, |s| s as usize).clamp(1, 256) + 2;
-    let listen = config.listen.clone().ok_or("listen: not set")?;
-    let discovery = address("discovery", config.discovery.as_deref())?;
-    let journal = Journal::open(&config.state, config.disk_mb)
-        .map_err(|e| format!("NODE_STATE: {}: {e}", config.state.display()))?;
-    let courier = Arc::new(Courier::new(settings, config.seed, journal));
+    let clock = Clock::start();
+    let zones = mail_config.as_ref().map_or(0, |m| mail::dns::server::room(m.zones.len()));
+    let disk = (config.disk_mb * 1e6) as u64;
+    let journal = Journal::open(&state, disk.saturating_sub(zones), clock.now())
+        .map_err(|e| format!("NODE_STATE: {}: {e}", state.display()))?;
+    let courier = Arc::new(Courier::new(settings, config.seed, clock, journal));
     let fail = |e: std::io::Error| format!("starting: {e}");
-    let version = known.generation;
-    let backends = known.backends(&names);
-    courier.report(Report::List { front: platform::FRONT, whole: true, backends, fresh: false });
-    let (platform, front) =
-        platform::start(&courier, config.sockets, names, slots, discovery, version).map_err(fail)?;
-    let (shared, fronts) = (courier.clone(), [front]);
+    let (mut fronts, mut sessions, mut serve) = (Vec::new(), Vec::new(), Vec::<Serve>::new());
+    if let Some(listen) = config.listen {
+        let discovery = address("discovery", config.discovery.as_deref())?;
+        let version = known.generation;
+        let backends = known.backends(&names);
+        courier.report(Report::List { front: platform::FRONT, whole: true, backends, fresh: false });
+        let (platform, front) =
+            platform::start(&courier, config.sockets, names, slots, discovery, version).map_err(fail)?;
+        let listener = TcpListener::bind(&listen).map_err(|e| format!("listen: {listen}: {e}"))?;
+        let addr = listener.local_addr().map_err(|e| format!("listen: {listen}: {e}"))?;
+        eprintln!("indigohold: platform on {addr}");
+        fronts.push(front);
+        sessions.push(platform.sessions.clone());
+        serve.push(Box::new(move || platform::serve(&platform, listener)));
+    }
+    if let Some(mail_config) = mail_config {
+        let listeners = mail::bind(&mail_config)?;
+        let (mail, front) = mail::start(&courier, mail_config, slots, &state)?;
+        fronts.push(front);
+        sessions.push(mail.sessions.clone());
+        serve.push(Box::new(move || mail::serve(&mail, listeners)));
+    }
     let conns: Vec<_> = fronts.iter().map(|f| f.conns.clone()).collect();
+    let shared = courier.clone();
     net::spawn("dispatch", move || net::dispatch(&shared, &fronts)).map_err(fail)?;
-    let listener = TcpListener::bind(&listen).map_err(|e| format!("listen: {listen}: {e}"))?;
-    platform::serve(&platform, listener).map_err(fail)?;
-    eprintln!("indigohold: ready on {listen}");
+    // What is owed has been taken up; only now is anybody answered.
+    serve.into_iter().try_for_each(|serve| serve()).map_err(fail)?;
+    eprintln!("indigohold: ready");
     let mut stopping: Option<Instant> = None;
     let mut swept = Instant::now();
     loop {
@@ -62,9 +87,10 @@
         }
         if let Some(since) = stopping.map(|at| now - at) {
             if since >= CLOSE {
-                platform.sessions.close();
+                sessions.iter().for_each(|s| s.close());
             }
-            if since >= EXIT || since >= CLOSE && platform.sessions.count() == 0 {
+            let open: usize = sessions.iter().map(|s| s.count()).sum();
+            if since >= EXIT || since >= CLOSE && open == 0 {
                 return Ok(());
             }
         }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -71,6 +71,8 @@
 
 struct Idle {
     stream: Arc<TcpStream>,
+    /// What its front knows of it.
+    tag: u32,
     since: Instant,
 }
 
@@ -129,19 +131,19 @@
     /// An idle connection that is still in order, the one used last. Danger: an endpoint closes connections that
     /// have stood idle, and a request written to one of those ends as a reset that may have run; so one with an
     /// end or stray bytes to read is dropped, and so is one that has been idle for long.
-    pub fn reuse(&self, addr: SocketAddr) -> Option<Arc<TcpStream>> {
+    pub fn reuse(&self, addr: SocketAddr) -> Option<(Arc<TcpStream>, u32)> {
         loop {
             let idle = lock(&self.idle).get_mut(&addr)?.pop()?;
             if idle.since.elapsed() < self.keep && quiet(&idle.stream) {
-                return Some(idle.stream);
+                return Some((idle.stream, idle.tag));
             }
         }
     }
 
     /// Keeps a connection whose answer was read whole.
-    pub fn keep(&self, addr: SocketAddr, stream: Arc<TcpStream>) {
+    pub fn keep(&self, addr: SocketAddr, stream: Arc<TcpStream>, tag: u32) {
         let mut idle = lock(&self.idle);
-        idle.entry(addr).or_default().push(Idle { stream, since: Instant::now() });
+        idle.entry(addr).or_default().push(Idle { stream, tag, since: Instant::now() });
         if idle.values().map(Vec::len).sum::<usize>() > self.most_idle {
             let oldest = idle.iter().filter_map(|(a, l)| l.first().map(|i| (i.since, *a))).min();
             if let Some(list) = oldest.and_then(|(_, a)| idle.get_mut(&a)) {
--- /dev/null
+++ b/src/net/mail/bounce.rs
@@ -0,0 +1,156 @@
+//! What became of a message that was taken with 250 and not delivered: one bounce to its sender (RFC 3464), and
+//! none where the sender is null. The bounce is a req like any other: journaled, paced, and ended once.
+
+use super::client::Envelope;
+use super::{Mail, FRONT};
+use crate::api::Micros;
+use crate::core::{Answer, Notice, Report, Req, Verdict};
+use crossbeam_channel::Receiver;
+use std::time::{Duration, UNIX_EPOCH};
+
+/// Pause before a bounce that was refused is handed in again.
+const PAUSE: Duration = Duration::from_millis(200);
+/// The most of the message's own header that goes back with it.
+const HEADER_MOST: usize = 8 * 1024;
+
+/// Takes orders for as long as there are any.
+pub fn work(mail: &Mail, orders: &Receiver<Notice>) {
+    for notice in orders {
+        if let Some(req) = bounce(mail, &notice) {
+            hand_in(mail, req);
+        }
+        mail.courier.report(Report::Told(notice.msg));
+    }
+}
+
+/// Hands a bounce in until it is taken. Its id is made of the message's, so that one that was taken in an
+/// earlier life, before the message itself was forgotten, is recognised.
+fn hand_in(mail: &Mail, req: Req) {
+    loop {
+        match mail.courier.report(Report::Req(req.clone())) {
+            Answer::Taken(msg) => {
+                mail.courier.report(Report::Answered(msg));
+                return;
+            }
+            Answer::Refused(_) => std::thread::sleep(PAUSE),
+            Answer::NoSuchDest => {
+                eprintln!("indigohold: bounce {}: its sender's domain has no mail backend", req.id);
+                return;
+            }
+            Answer::Known | Answer::Go(_) | Answer::Noted => return,
+        }
+    }
+}
+
+/// The bounce of a message, if there is one to send.
+pub fn bounce(mail: &Mail, notice: &Notice) -> Option<Req> {
+    let envelope = Envelope::of(&notice.req.head);
+    if envelope.from.is_empty() {
+        eprintln!(
+            "indigohold: {} to {}: ended without delivery, and has no sender",
+            notice.req.id, envelope.to
+        );
+        return None;
+    }
+    let domain = envelope.from.rsplit('@').next().unwrap_or_default().to_ascii_lowercase();
+    let Some(partner) = mail.config.partners.get(&domain) else {
+        eprintln!("indigohold: {}: no partner {domain} to send its bounce to", notice.req.id);
+        return None;
+    };
+    let now = mail.courier.clock.now();
+    let to = envelope.from.clone();
+    Some(Req {
+        id: format!("bounce-{}", notice.req.id),
+        front: FRONT,
+        dest: partner.dest,
+        class: mail.config.bounce_class,
+        tenant: notice.req.tenant,
+        due: now + mail.config.deadlines[usize::from(mail.config.bounce_class)],
+        body: text(mail, notice, &envelope, now).into(),
+        head: Envelope { from: String::new(), to }.head(),
+        keep_id: now + mail.config.remember,
+    })
+}
+
+/// Date and time as RFC 5322 writes them.
+pub fn date(now: Micros) -> String {
+    httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_micros(now.0)).replace("GMT", "+0000")
+}
+
+fn text(mail: &Mail, notice: &Notice, envelope: &Envelope, now: Micros) -> Vec<u8> {
+    let (host, id, to) = (&mail.config.hostname, &notice.req.id, &envelope.to);
+    let (status, why) = match notice.verdict {
+        Verdict::HandedBack(wait) => (
+            "4.4.7",
+            format!(
+                "It was not delivered in time, and it has not taken effect.\r\n\
+                 It may be sent again, best after {} seconds.",
+                wait.0.div_ceil(1_000_000)
+            ),
+        ),
+        Verdict::GivenUp if notice.said.starts_with('5') => {
+            ("5.0.0", "The partner's server has refused it. It has not taken effect.".to_owned())
+        }
+        Verdict::GivenUp => (
+            "4.4.2",
+            "It was handed to the partner's server, which did not say whether it took it.\r\n\
+             It may have taken effect. It was not sent again, so that it takes effect only once."
+                .to_owned(),
+        ),
+    };
+    // The server's own enhanced code says more, where it gave one.
+    let own = notice
+        .said
+        .split(' ')
+        .nth(1)
+        .filter(|w| w.split('.').count() == 3 && notice.said.starts_with(&w[..1]));
+    let status = own.unwrap_or(status);
+    let said = if notice.said.is_empty() { "none" } else { &notice.said };
+    let header = header(&notice.req.body);
+    let mut out = format!(
+        "From: Mail Delivery System <postmaster@{host}>\r\n\
+         To: <{}>\r\n\
+         Subject: Undelivered Mail Returned to Sender\r\n\
+         Date: {}\r\n\
+         Message-ID: <bounce-{id}@{host}>\r\n\
+         Auto-Submitted: auto-replied\r\n\
+         MIME-Version: 1.0\r\n\
+         Content-Type: multipart/report; report-type=delivery-status;\r\n boundary=\"{id}.report\"\r\n\
+         \r\n\
+         --{id}.report\r\n\
+         Content-Type: text/plain; charset=us-ascii\r\n\
+         \r\n\
+         Your message to <{to}> has ended without a confirmed delivery.\r\n\
+         {why}\r\n\
+         The last word from the partner's server: {said}\r\n\
+         \r\n\
+         --{id}.report\r\n\
+         Content-Type: message/delivery-status\r\n\
+         \r\n\
+         Reporting-MTA: dns; {host}\r\n\
+         \r\n\
+         Final-Recipient: rfc822; {to}\r\n\
+         Action: failed\r\n\
+         Status: {status}\r\n\
+         Diagnostic-Code: smtp; {said}\r\n\
+         \r\n\
+         --{id}.report\r\n\
+         Content-Type: text/rfc822-headers\r\n\
+         \r\n",
+        envelope.from,
+        date(now),
+    )
+    .into_bytes();
+    // A bounce is 7-bit text.
+    out.extend(header.iter().map(|b| if b.is_ascii() { *b } else { b'?' }));
+    out.extend(format!("\r\n--{id}.report--\r\n").as_bytes());
+    out
+}
+
+/// The header of a message, whole lines of it.
+fn header(body: &[u8]) -> &[u8] {
+    let end = body.windows(4).position(|w| w == b"\r\n\r\n").map_or(body.len(), |at| at + 2);
+    let head = &body[..end.min(HEADER_MOST)];
+    let whole = head.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1);
+    &head[..whole]
+}
--- /dev/null
+++ b/src/net/mail/mod.rs
@@ -0,0 +1,172 @@
+//! The mail front: SMTP (RFC 5321) and LMTP (RFC 2033), in and out, on the same core as the platform's front and
+//! under its rules. Each recipient of a message is a req of its own. Nobody at a partner's mail server drops a
+//! repeat, so a print order that may have taken effect is not sent again.
+
+pub mod bounce;
+pub mod client;
+pub mod config;
+pub mod dns;
+pub mod lines;
+pub mod server;
+
+use super::conn::Conns;
+use super::pool::Pool;
+use super::sessions::{self, Sessions};
+use super::{spawn, Front};
+use crate::core::{Courier, ListLine, ListState, Report};
+use config::MailConfig;
+use crossbeam_channel::unbounded;
+use dns::server::Zones;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+/// Number of this front in the journal.
+pub const FRONT: u8 = 1;
+/// Client sessions at most; each may hold a message.
+const SESSIONS_MOST: usize = 64;
+/// How long an idle connection to a partner is kept: servers wait for minutes.
+const KEEP: Duration = Duration::from_secs(20);
+/// How often the zone files are looked at.
+const RELOAD: Duration = Duration::from_millis(500);
+
+/// What the threads of this front share.
+pub struct Mail {
+    /// The core.
+    pub courier: Arc<Courier>,
+    /// Its file.
+    pub config: MailConfig,
+    /// The buffers.
+    pub pool: Pool,
+    /// The fetches' connections.
+    pub conns: Arc<Conns>,
+    /// Client sessions.
+    pub sessions: Arc<Sessions>,
+    zones: OnceLock<Zones>,
+}
+
+/// The sockets that the front listens on.
+pub struct Listeners {
+    smtp: Option<TcpListener>,
+    lmtp: Option<TcpListener>,
+    dns: Option<(UdpSocket, TcpListener)>,
+}
+
+/// Starts the front, all but its listeners.
+pub fn start(
+    courier: &Arc<Courier>, config: MailConfig, slots: usize, state: &Path,
+) -> Result<(Arc<Mail>, Front), String> {
+    let conns = Arc::new(Conns::new(KEEP, 64));
+    let mail = Arc::new(Mail {
+        courier: courier.clone(),
+        config,
+        pool: Pool::new(16),
+        conns: conns.clone(),
+        sessions: Arc::new(Sessions::new(SESSIONS_MOST)),
+        zones: OnceLock::new(),
+    });
+    let shared = Arc::downgrade(&mail);
+    let changed = move || {
+        if let Some(mail) = shared.upgrade() {
+            mail.tell_backends();
+        }
+    };
+    let sources = mail.config.update_sources.clone();
+    let zones = Zones::open(&mail.config.zones, state, sources, Box::new(changed))?;
+    mail.zones.get_or_init(|| zones);
+    mail.tell_backends();
+    let (fetches, fetch_orders) = unbounded();
+    let (notices, notice_orders) = unbounded();
+    let threads = || -> io::Result<()> {
+        for _ in 0..slots {
+            let (mail, orders) = (mail.clone(), fetch_orders.clone());
+            spawn("mail-fetch", move || client::work(&mail, &orders))?;
+        }
+        let shared = mail.clone();
+        spawn("bounces", move || bounce::work(&shared, &notice_orders))?;
+        let shared = mail.clone();
+        spawn("zones", move || loop {
+            std::thread::sleep(RELOAD);
+            shared.zones().iter().for_each(|z| z.reload());
+        })?;
+        Ok(())
+    };
+    threads().map_err(|e| format!("starting the mail front: {e}"))?;
+    Ok((mail, Front { number: FRONT, fetches, notices, watch: None, conns }))
+}
+
+/// Opens the front's sockets.
+pub fn bind(config: &MailConfig) -> Result<Listeners, String> {
+    let tcp = |what: &str, addr: Option<SocketAddr>| match addr {
+        None => Ok(None),
+        Some(addr) => TcpListener::bind(addr).map(Some).map_err(|e| format!("{what}: {addr}: {e}")),
+    };
+    let smtp = tcp("smtp", config.smtp)?;
+    let lmtp = tcp("lmtp", config.lmtp)?;
+    let dns = match tcp("dns", config.dns)? {
+        None => None,
+        Some(listener) => {
+            let addr = listener.local_addr().map_err(|e| format!("dns: {e}"))?;
+            Some((UdpSocket::bind(addr).map_err(|e| format!("dns: {addr}: {e}"))?, listener))
+        }
+    };
+    let names = [("smtp", smtp.as_ref()), ("lmtp", lmtp.as_ref()), ("dns", dns.as_ref().map(|d| &d.1))];
+    for (what, listener) in names {
+        if let Some(addr) = listener.and_then(|l| l.local_addr().ok()) {
+            eprintln!("indigohold: {what} on {addr}");
+        }
+    }
+    Ok(Listeners { smtp, lmtp, dns })
+}
+
+/// Starts the front's listeners.
+pub fn serve(mail: &Arc<Mail>, listeners: Listeners) -> io::Result<()> {
+    for (listener, session) in [
+        (listeners.smtp, server::smtp as fn(&Mail, &std::net::TcpStream) -> io::Result<()>),
+        (listeners.lmtp, server::lmtp),
+    ] {
+        if let Some(listener) = listener {
+            let mail = mail.clone();
+            spawn("mail-listen", move || sessions::listen(&listener, &mail.sessions, &mail, session))?;
+        }
+    }
+    if let Some((udp, tcp)) = listeners.dns {
+        let shared = mail.clone();
+        spawn("dns-udp", move || shared.zones().iter().for_each(|z| z.serve_udp(&udp)))?;
+        let shared = mail.clone();
+        let answered = |mail: &Mail, stream: &std::net::TcpStream| match mail.zones() {
+            Some(zones) => zones.serve_tcp(&mail.courier.clock, stream),
+            None => Ok(()),
+        };
+        spawn("dns-tcp", move || sessions::listen(&tcp, &shared.sessions, &shared, answered))?;
+    }
+    Ok(())
+}
+
+impl Mail {
+    fn zones(&self) -> Option<&Zones> {
+        self.zones.get()
+    }
+
+    /// Tells the core all mail backends of all partners, as the zones name them now. One that is named no more
+    /// gets nothing new and finishes what it has.
+    fn tell_backends(&self) {
+        let Some(zones) = self.zones() else { return };
+        let lines = self.config.partners.values().flat_map(|partner| {
+            let backends = zones.backends(&partner.domain);
+            backends.into_iter().map(|backend| ListLine {
+                name: format!("{}/{}", partner.dest, backend.name),
+                addr: backend.addr,
+                dest: partner.dest,
+                kind: partner.kind,
+                zone: 0,
+                state: ListState::Up,
+                weight: partner.rate,
+            })
+        });
+        let backends = lines.collect();
+        self.courier.report(Report::List { front: FRONT, whole: true, backends, fresh: false });
+    }
+}
--- a/src/net/platform/fetch.rs
+++ b/src/net/platform/fetch.rs
@@ -40,16 +40,17 @@
         done.end = End::CalledOff;
     }
     if let (Some(spare), false) = (done.spare, called_off) {
-        platform.conns.keep(fetch.backend.addr, spare);
+        platform.conns.keep(fetch.backend.addr, spare, 0);
     }
-    platform.courier.report(Report::Done { fetch, end: done.end, latency: done.latency, load: done.load });
+    let (end, latency, load, said) = (done.end, done.latency, done.load, String::new());
+    platform.courier.report(Report::Done { fetch, end, latency, load, said });
 }
 
 fn attempt(platform: &Platform, fetch: &Fetch) -> Done {
     let (clock, addr) = (&platform.courier.clock, fetch.backend.addr);
     let until = clock.instant(fetch.until);
     let (stream, reused) = match platform.conns.reuse(addr) {
-        Some(stream) => (stream, true),
+        Some((stream, _)) => (stream, true),
         None => {
             let up_by = until.min(clock.instant(clock.now() + platform.names.connect));
             match conn::connect(addr, up_by) {
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -8,6 +8,7 @@
 
 use super::conn::Conns;
 use super::pool::Pool;
+use super::sessions::{self, Sessions};
 use super::{spawn, Front};
 use crate::core::Courier;
 use crate::settings::Names;
@@ -35,7 +36,7 @@
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// Client sessions.
-    pub sessions: session::Sessions,
+    pub sessions: Arc<Sessions>,
 }
 
 /// Starts the front's threads, all but the listener's.
@@ -50,7 +51,7 @@
         pool: Pool::new(64),
         conns: conns.clone(),
         discovery,
-        sessions: session::Sessions::new(sockets / 2),
+        sessions: Arc::new(Sessions::new(sockets / 2)),
     });
     let (fetches, fetch_orders) = unbounded();
     for _ in 0..slots {
@@ -69,5 +70,6 @@
 /// Starts the listener.
 pub fn serve(platform: &Arc<Platform>, listener: TcpListener) -> io::Result<()> {
     let platform = platform.clone();
-    spawn("listen", move || session::listen(&platform, &listener)).map(|_| ())
+    spawn("listen", move || sessions::listen(&listener, &platform.sessions, &platform, session::serve))
+        .map(|_| ())
 }
--- a/src/net/platform/session.rs
+++ b/src/net/platform/session.rs
@@ -5,13 +5,10 @@
 use super::{Platform, FRONT};
 use crate::api::Micros;
 use crate::core::{Answer, Report, Req};
+use crate::net::conn;
 use crate::net::pool::Buf;
-use crate::net::{conn, spawn};
-use std::collections::HashMap;
 use std::io::{self, ErrorKind};
-use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::net::{Shutdown, TcpStream};
 
 /// How long a session may idle, and how long one request may take to come in.
 const IDLE: Micros = Micros(120_000_000);
@@ -21,80 +18,8 @@
 const NAME_MOST: usize = 256;
 const DEADLINE_MS_MOST: u64 = 24 * 3600 * 1000;
 
-/// The sessions that are open, so that the end of the process can close them between requests.
-pub struct Sessions {
-    most: usize,
-    closing: AtomicBool,
-    open: Mutex<(u64, HashMap<u64, Arc<TcpStream>>)>,
-}
-
-impl Sessions {
-    /// Room for so many.
-    pub fn new(most: usize) -> Sessions {
-        Sessions { most, closing: AtomicBool::new(false), open: Mutex::default() }
-    }
-
-    fn enter(&self, stream: &Arc<TcpStream>) -> Option<u64> {
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if open.1.len() >= self.most {
-            return None;
-        }
-        open.0 += 1;
-        let number = open.0;
-        open.1.insert(number, stream.clone());
-        Some(number)
-    }
-
-    fn leave(&self, number: u64) {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner).1.remove(&number);
-    }
-
-    /// How many are open.
-    pub fn count(&self) -> usize {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner).1.len()
-    }
-
-    /// Every session ends after the request that it is reading, and at once if it reads none.
-    pub fn close(&self) {
-        self.closing.store(true, Ordering::SeqCst);
-        for stream in self.open.lock().unwrap_or_else(PoisonError::into_inner).1.values() {
-            // What has come in can still be read; then the session sees an end.
-            let _ = stream.shutdown(Shutdown::Read);
-        }
-    }
-
-    fn closing(&self) -> bool {
-        self.closing.load(Ordering::SeqCst)
-    }
-}
-
-/// Accepts connections for as long as the process lives.
-pub fn listen(platform: &Arc<Platform>, listener: &TcpListener) {
-    loop {
-        let stream = match listener.accept() {
-            Ok((stream, _)) => Arc::new(stream),
-            Err(e) => {
-                // No descriptor was free, or the client went again.
-                if e.kind() != ErrorKind::ConnectionAborted {
-                    std::thread::sleep(std::time::Duration::from_millis(5));
-                }
-                continue;
-            }
-        };
-        let Some(number) = platform.sessions.enter(&stream) else { continue };
-        let shared = platform.clone();
-        let session = move || {
-            let _ = serve(&shared, &stream);
-            shared.sessions.leave(number);
-        };
-        if spawn("session", session).is_err() {
-            platform.sessions.leave(number);
-        }
-    }
-}
-
 /// Serves one connection to its end. An error means that it broke.
-fn serve(platform: &Platform, stream: &TcpStream) -> io::Result<()> {
+pub fn serve(platform: &Platform, stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let clock = &platform.courier.clock;
     let within = |span| clock.instant(clock.now() + span);
@@ -194,6 +119,7 @@
                 Err(e)
             }
         },
+        Answer::Known => say("202 Accepted", "", ""),
         Answer::Refused(wait) => {
             let headers = format!("Retry-After: {:.3}\r\n", wait.secs());
             say("503 Service Unavailable", &headers, "")
@@ -232,6 +158,7 @@
         tenant: tenant.ok_or("Req-Owner: no such tenant")?,
         due: platform.courier.clock.now() + Micros(ms * 1000),
         head: key,
-        body: body.to_vec(),
+        body: body.into(),
+        keep_id: Micros(0),
     })
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -12,6 +12,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// How a message ended, where its client must be told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,14 +41,16 @@
     /// What the front needs beside the body: an idempotency key, an envelope.
     pub head: String,
     /// Passed on unchanged.
-    pub body: Vec<u8>,
+    pub body: Arc<[u8]>,
+    /// Until when `id` is recognised after a message that may have taken effect has ended; 0: not at all.
+    pub keep_id: Micros,
 }
 
 /// A message in the journal that has not ended.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Owed {
     /// The req itself.
-    pub req: Req,
+    pub req: Arc<Req>,
     /// Fetches begun.
     pub tries: u32,
     /// The first fetch that may have run: when it began and at which backend.
@@ -56,13 +59,19 @@
     pub open: Option<(Micros, String)>,
     /// Decided already; only the notice is owed.
     pub verdict: Option<Verdict>,
+    /// What a backend last said of it, for whoever is told its end.
+    pub said: String,
 }
 
 const SEGMENT_PARTS: u64 = 16;
 const BLOCK: u64 = 512;
 /// Length of a record's head, and the longest body that is believed when the journal is read.
 const HEAD: usize = 8;
-const BODY_MOST: usize = 1 << 20;
+const BODY_MOST: usize = 1 << 26;
+/// The file of ids that are still recognised, its share of the budget, and how it is written anew.
+const IDS: &str = "ids.log";
+const IDS_NEW: &str = "ids.new";
+const IDS_SHARE: u64 = 8;
 
 struct Segment {
     number: u64,
@@ -79,14 +88,20 @@
     segments: Vec<Segment>,
     tail: File,
     owed: BTreeMap<u64, Owed>,
+    /// Ids of ended messages that are still recognised, and until when.
+    ids: BTreeMap<String, Micros>,
+    ids_file: File,
+    ids_bytes: u64,
 }
 
 impl Journal {
     /// Opens the folder and reads what is owed. A torn or damaged record ends its segment: it was being written
     /// when the process died, so what it covers had not been promised.
-    pub fn open(dir: &Path, disk_mb: f64) -> io::Result<Journal> {
+    pub fn open(dir: &Path, disk: u64, now: Micros) -> io::Result<Journal> {
         fs::create_dir_all(dir)?;
-        let budget = (disk_mb.clamp(0.25, 1e6) * 1_000_000.0) as u64;
+        let ids = read_ids(&dir.join(IDS), now)?;
+        let (ids_file, ids_bytes) = write_ids(dir, &ids)?;
+        let budget = disk.max(64 * 1024);
         let mut numbers: Vec<(u64, PathBuf)> = Vec::new();
         for entry in fs::read_dir(dir)? {
             let path = entry?.path();
@@ -119,7 +134,9 @@
         let segment_bytes = (budget / SEGMENT_PARTS).max(16 * BLOCK);
         let (segment, tail) = new_segment(dir, next)?;
         segments.push(segment);
-        let mut journal = Journal { dir: dir.to_owned(), budget, segment_bytes, segments, tail, owed };
+        let dir = dir.to_owned();
+        let mut journal =
+            Journal { dir, budget, segment_bytes, segments, tail, owed, ids, ids_file, ids_bytes };
         journal.drop_dead()?;
         Ok(journal)
     }
@@ -129,9 +146,14 @@
         &self.owed
     }
 
+    /// Whether a message of this id has ended and may have taken effect.
+    pub fn knows(&self, id: &str, now: Micros) -> bool {
+        self.ids.get(id).is_some_and(|until| *until > now)
+    }
+
     /// Takes a req on. `false`: there is no room for it and it must be refused.
-    pub fn take(&mut self, msg: u64, req: Req) -> io::Result<bool> {
-        let owed = Owed { req, tries: 0, risk: None, open: None, verdict: None };
+    pub fn take(&mut self, msg: u64, req: Arc<Req>) -> io::Result<bool> {
+        let owed = Owed { req, tries: 0, risk: None, open: None, verdict: None, said: String::new() };
         let body = encode_take(msg, &owed);
         if !self.make_room((HEAD + body.len()) as u64)? {
             return Ok(false);
@@ -150,10 +172,11 @@
         self.change(msg, &body)
     }
 
-    /// A fetch is over; `may_have_run` unless its outcome proves that it never did.
-    pub fn outcome(&mut self, msg: u64, may_have_run: bool) -> io::Result<()> {
+    /// A fetch is over; `may_have_run` unless its outcome proves that it never did. `said` is the backend's word.
+    pub fn outcome(&mut self, msg: u64, may_have_run: bool, said: &str) -> io::Result<()> {
         let mut body = body(OUTCOME, msg);
         body.push(u8::from(may_have_run));
+        text(&mut body, said);
         self.change(msg, &body)
     }
 
@@ -164,8 +187,16 @@
         self.change(msg, &body)
     }
 
-    /// Nothing more is owed.
-    pub fn end(&mut self, msg: u64) -> io::Result<()> {
+    /// Nothing more is owed. What may have taken effect is still recognised for as long as it asked for.
+    /// Danger: a client whose answer was lost hands the same message in again, long after it was delivered.
+    pub fn end(&mut self, msg: u64, now: Micros) -> io::Result<()> {
+        let may_have_run = |o: &&Owed| o.risk.is_some() || o.open.is_some();
+        if let Some(owed) = self.owed.get(&msg).filter(may_have_run) {
+            let (id, until) = (owed.req.id.clone(), owed.req.keep_id);
+            if until > now {
+                self.remember(id, until, now)?;
+            }
+        }
         self.change(msg, &body(END, msg))?;
         self.drop_dead()
     }
@@ -212,9 +243,35 @@
         }
     }
 
-    /// Bytes on disk, each file in whole blocks.
+    fn remember(&mut self, id: String, until: Micros, now: Micros) -> io::Result<()> {
+        let line = id_line(&id, until);
+        self.ids.insert(id, until);
+        self.ids_file.write_all(line.as_bytes())?;
+        self.ids_bytes += line.len() as u64;
+        let most = self.budget / IDS_SHARE;
+        if self.ids_bytes > most {
+            self.ids.retain(|_, until| *until > now);
+            // Still over half its share: those that would go first go now.
+            let mut soonest: Vec<(Micros, String)> = self.ids.iter().map(|(i, u)| (*u, i.clone())).collect();
+            soonest.sort();
+            let mut bytes: u64 = soonest.iter().map(|(u, i)| id_line(i, *u).len() as u64).sum();
+            for (until, id) in soonest {
+                if bytes <= most / 2 {
+                    break;
+                }
+                bytes -= id_line(&id, until).len() as u64;
+                self.ids.remove(&id);
+            }
+            (self.ids_file, self.ids_bytes) = write_ids(&self.dir, &self.ids)?;
+        }
+        Ok(())
+    }
+
+    /// Bytes on disk, each file in whole blocks. The ids count twice their share: they are written anew beside
+    /// the old file.
     fn on_disk(&self) -> u64 {
-        self.segments.iter().map(|s| s.bytes.div_ceil(BLOCK) * BLOCK).sum()
+        let ids = self.ids_bytes.div_ceil(BLOCK) * BLOCK * 2;
+        ids + self.segments.iter().map(|s| s.bytes.div_ceil(BLOCK) * BLOCK).sum::<u64>()
     }
 
     fn drop_dead(&mut self) -> io::Result<()> {
@@ -252,6 +309,35 @@
     }
 }
 
+fn id_line(id: &str, until: Micros) -> String {
+    let text = format!("{} {id}", until.0);
+    format!("{:08x} {text}\n", crc32fast::hash(text.as_bytes()))
+}
+
+/// Reads the ids that are still to be recognised; a torn or damaged line is passed over.
+fn read_ids(path: &Path, now: Micros) -> io::Result<BTreeMap<String, Micros>> {
+    let bytes = match fs::read(path) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
+        other => other?,
+    };
+    let read = |line: &str| {
+        let (sum, text) = line.split_once(' ')?;
+        let sum = u32::from_str_radix(sum, 16).ok()?;
+        let (until, id) = text.split_once(' ').filter(|_| crc32fast::hash(text.as_bytes()) == sum)?;
+        Some((id.to_owned(), Micros(until.parse().ok()?)))
+    };
+    let text = String::from_utf8_lossy(&bytes);
+    Ok(text.lines().filter_map(read).filter(|(_, until)| *until > now).collect())
+}
+
+/// Writes the ids anew, beside the old file and then in its place.
+fn write_ids(dir: &Path, ids: &BTreeMap<String, Micros>) -> io::Result<(File, u64)> {
+    let text: String = ids.iter().map(|(id, until)| id_line(id, *until)).collect();
+    fs::write(dir.join(IDS_NEW), &text)?;
+    fs::rename(dir.join(IDS_NEW), dir.join(IDS))?;
+    Ok((OpenOptions::new().append(true).open(dir.join(IDS))?, text.len() as u64))
+}
+
 fn new_segment(dir: &Path, number: u64) -> io::Result<(Segment, File)> {
     let path = dir.join(format!("{number:08}.log"));
     let tail = OpenOptions::new().create(true).append(true).open(&path)?;
@@ -310,10 +396,12 @@
     out.extend(req.due.0.to_le_bytes());
     text(&mut out, &req.head);
     bytes(&mut out, &req.body);
+    out.extend(req.keep_id.0.to_le_bytes());
     out.extend(owed.tries.to_le_bytes());
     put_attempt(&mut out, &owed.risk);
     put_attempt(&mut out, &owed.open);
     put_verdict(&mut out, owed.verdict);
+    text(&mut out, &owed.said);
     out
 }
 
@@ -376,14 +464,16 @@
             tenant: self.u16()?,
             due: Micros(self.u64()?),
             head: self.text()?,
-            body: self.bytes()?,
+            body: self.bytes()?.into(),
+            keep_id: Micros(self.u64()?),
         };
         Some(Owed {
-            req,
+            req: Arc::new(req),
             tries: self.u32()?,
             risk: self.attempt()?,
             open: self.attempt()?,
             verdict: self.verdict()?,
+            said: self.text()?,
         })
     }
 }
@@ -406,6 +496,7 @@
         OUTCOME => {
             let (open, may_have_run) = (held.open.take(), fields.u8()? != 0);
             held.risk = held.risk.take().or(open.filter(|_| may_have_run));
+            held.said = fields.text()?;
         }
         VERDICT => held.verdict = fields.verdict()?,
         END => {
