Wait for fetches at the end, tell notices anew sooner, and let bounces wait in turn

Saw, by reading: after SIGTERM the program ended at 3.1 s once no session was open, though a fetch was still out (main.rs); a notice on a connection cut off silently was tried again only after 1 s, past the 300 ms that the rule leaves (notices.rs); a bounce that could not be taken held up all others, and for a sender's domain without a backend for ever, as the mail list was never marked fresh (bounce.rs, core). Changed: the end waits for fetches up to 3.4 s; the first wait for a notice's answer is 100 ms, doubling; bounces wait side by side, their messages staying owed; freshness is kept by front; an idle mail connection says QUIT before it is closed.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -72,7 +72,8 @@
     /// Names on the list of each front that are not gone, with what the module knows of them.
     listed: BTreeMap<(u8, String), Entry>,
     dests: HashSet<u16>,
-    fresh: bool,
+    /// Fronts whose list came from the register itself, not from what was kept of it.
+    fresh: HashSet<u8>,
     alarm_at: Option<Micros>,
     stop_at: Option<Micros>,
     failed: Option<String>,
@@ -97,7 +98,7 @@
             names: HashMap::new(),
             listed: BTreeMap::new(),
             dests: HashSet::new(),
-            fresh: false,
+            fresh: HashSet::new(),
             alarm_at: None,
             stop_at: None,
             failed: None,
@@ -193,7 +194,9 @@
             }
             Report::Told(msg) => self.forget(now, msg),
             Report::List { front, whole, backends, fresh } => {
-                self.fresh |= fresh;
+                if fresh {
+                    self.fresh.insert(front);
+                }
                 self.list(now, front, whole, backends);
             }
             Report::ListFailed => self.feed(now, &[Event::ListFailed], None),
@@ -208,7 +211,11 @@
             return Answer::Known;
         }
         if !self.dests.contains(&req.dest) {
-            return if self.fresh { Answer::NoSuchDest } else { Answer::Refused(STAY_AWAY) };
+            return if self.fresh.contains(&req.front) {
+                Answer::NoSuchDest
+            } else {
+                Answer::Refused(STAY_AWAY)
+            };
         }
         if self.failed.is_some() || self.msgs.len() >= self.max_open {
             return Answer::Refused(STAY_AWAY);
--- a/src/main.rs
+++ b/src/main.rs
@@ -87,8 +87,10 @@
             if since >= CLOSE {
                 sessions.iter().for_each(|s| s.close());
             }
+            // Danger: a fetch cut off here may have run, and costs its message an answer or a repeat.
             let open: usize = sessions.iter().map(|s| s.count()).sum();
-            if since >= EXIT || since >= CLOSE && open == 0 {
+            let out: usize = conns.iter().map(|c| c.out()).sum();
+            if since >= EXIT || since >= CLOSE && open + out == 0 {
                 return Ok(());
             }
         }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -85,6 +85,8 @@
 
 /// The connections of one front's fetches.
 pub struct Conns {
+    /// What is said on an idle connection before it is closed.
+    farewell: &'static [u8],
     keep: Duration,
     most_idle: usize,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
@@ -92,9 +94,9 @@
 }
 
 impl Conns {
-    /// Idle connections are kept for so long and no more than so many.
-    pub fn new(keep: Duration, most_idle: usize) -> Conns {
-        Conns { keep, most_idle, idle: Mutex::default(), out: Mutex::default() }
+    /// Idle connections are kept for so long and no more than so many; each is closed with a farewell.
+    pub fn new(keep: Duration, most_idle: usize, farewell: &'static [u8]) -> Conns {
+        Conns { farewell, keep, most_idle, idle: Mutex::default(), out: Mutex::default() }
     }
 
     /// A fetch is ordered; from now on it can be called off.
@@ -118,6 +120,11 @@
         matches!(lock(&self.out).remove(&(msg, attempt)), Some(Out::CalledOff))
     }
 
+    /// How many fetches are ordered or out.
+    pub fn out(&self) -> usize {
+        lock(&self.out).len()
+    }
+
     /// Calls a fetch off by closing its connection. One that is over is passed by.
     pub fn cancel(&self, msg: u64, attempt: u8) {
         if let Some(out) = lock(&self.out).get_mut(&(msg, attempt)) {
@@ -147,22 +154,32 @@
         if idle.values().map(Vec::len).sum::<usize>() > self.most_idle {
             let oldest = idle.iter().filter_map(|(a, l)| l.first().map(|i| (i.since, *a))).min();
             if let Some(list) = oldest.and_then(|(_, a)| idle.get_mut(&a)) {
-                list.remove(0);
+                self.part(list.remove(0));
             }
         }
     }
 
     /// Closes idle connections to one backend.
     pub fn let_go(&self, addr: SocketAddr) {
-        lock(&self.idle).remove(&addr);
+        lock(&self.idle).remove(&addr).into_iter().flatten().for_each(|idle| self.part(idle));
     }
 
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
+        let mut old = Vec::new();
         lock(&self.idle).retain(|_, list| {
-            list.retain(|i| i.since.elapsed() < self.keep);
+            old.extend(list.extract_if(.., |idle| idle.since.elapsed() >= self.keep));
             !list.is_empty()
         });
+        old.into_iter().for_each(|idle| self.part(idle));
+    }
+
+    /// Closes an idle connection. It has nothing to send, so its farewell fits into its buffer and never waits.
+    fn part(&self, idle: Idle) {
+        if !self.farewell.is_empty() && quiet(&idle.stream) {
+            // An error says that it is closed already.
+            let _ = (&*idle.stream).write(self.farewell);
+        }
     }
 }
 
--- a/src/net/mail/bounce.rs
+++ b/src/net/mail/bounce.rs
@@ -9,36 +9,51 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 /// Pause before a bounce that was refused is handed in again.
-const PAUSE: Duration = Duration::from_millis(200);
+const PAUSE: Micros = Micros(500_000);
 /// The most of the message's own header that goes back with it.
 const HEADER_MOST: usize = 8 * 1024;
 
-/// Takes orders for as long as there are any.
+/// Takes orders for as long as there are any. A bounce that can't be taken now waits, and its message stays owed,
+/// also over a restart; the others don't wait for it.
 pub fn work(mail: &Mail, orders: &Receiver<Notice>) {
-    for notice in orders {
-        if let Some(req) = bounce(mail, &notice) {
-            hand_in(mail, req);
+    let clock = &mail.courier.clock;
+    let mut waiting: Vec<(Notice, Req)> = Vec::new();
+    loop {
+        let next = if waiting.is_empty() {
+            orders.recv().ok()
+        } else {
+            orders.recv_deadline(clock.instant(clock.now() + PAUSE)).ok()
+        };
+        match next.map(|notice| (bounce(mail, &notice), notice)) {
+            Some((Some(req), notice)) => waiting.push((notice, req)),
+            Some((None, notice)) => drop(mail.courier.report(Report::Told(notice.msg))),
+            None if waiting.is_empty() => return,
+            None => {}
         }
-        mail.courier.report(Report::Told(notice.msg));
+        waiting.retain(|(notice, req)| {
+            let told = hand_in(mail, req);
+            if told {
+                mail.courier.report(Report::Told(notice.msg));
+            }
+            !told
+        });
     }
 }
 
-/// Hands a bounce in until it is taken. Its id is made of the message's, so that one that was taken in an
-/// earlier life, before the message itself was forgotten, is recognised.
-fn hand_in(mail: &Mail, req: Req) {
-    loop {
-        match mail.courier.report(Report::Req(req.clone())) {
-            Answer::Taken(msg) => {
-                mail.courier.report(Report::Answered(msg));
-                return;
-            }
-            Answer::Refused(_) => std::thread::sleep(PAUSE),
-            Answer::NoSuchDest => {
-                eprintln!("indigohold: bounce {}: its sender's domain has no mail backend", req.id);
-                return;
-            }
-            Answer::Known | Answer::Go(_) | Answer::Noted => return,
+/// Hands a bounce in; `false`: it can't be taken now. Its id is made of the message's, so that one that was taken
+/// in an earlier life, before the message itself was forgotten, is recognised.
+fn hand_in(mail: &Mail, req: &Req) -> bool {
+    if req.due <= mail.courier.clock.now() {
+        eprintln!("indigohold: {}: could not be handed in in time", req.id);
+        return true;
+    }
+    match mail.courier.report(Report::Req(req.clone())) {
+        Answer::Taken(msg) => {
+            mail.courier.report(Report::Answered(msg));
+            true
         }
+        Answer::Known => true,
+        Answer::Refused(_) | Answer::NoSuchDest | Answer::Go(_) | Answer::Noted => false,
     }
 }
 
--- a/src/net/mail/mod.rs
+++ b/src/net/mail/mod.rs
@@ -58,7 +58,7 @@
 pub fn start(
     courier: &Arc<Courier>, config: MailConfig, slots: usize, state: &Path,
 ) -> Result<(Arc<Mail>, Front), String> {
-    let conns = Arc::new(Conns::new(KEEP, 64));
+    let conns = Arc::new(Conns::new(KEEP, 64, b"QUIT\r\n"));
     let mail = Arc::new(Mail {
         courier: courier.clone(),
         config,
@@ -171,6 +171,6 @@
             })
         });
         let backends = lines.collect();
-        self.courier.report(Report::List { front: FRONT, whole: true, backends, fresh: false });
+        self.courier.report(Report::List { front: FRONT, whole: true, backends, fresh: true });
     }
 }
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -44,7 +44,7 @@
     courier: &Arc<Courier>, sockets: usize, names: Names, slots: usize, discovery: SocketAddr, version: u64,
 ) -> io::Result<(Arc<Platform>, Front)> {
     let keep = Duration::from_secs_f64(names.conn_idle.secs() * KEEP_SHARE);
-    let conns = Arc::new(Conns::new(keep, sockets / 8));
+    let conns = Arc::new(Conns::new(keep, sockets / 8, b""));
     let platform = Arc::new(Platform {
         courier: courier.clone(),
         names,
--- a/src/net/platform/notices.rs
+++ b/src/net/platform/notices.rs
@@ -9,17 +9,23 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
+use std::time::Instant;
 
-/// Longest wait for an answer, and the pauses between tries.
-const ANSWER: Micros = Micros(1_000_000);
-const PAUSE: Micros = Micros(20_000);
+/// How long an answer is waited for, doubled with each failure. Danger: a notice is overdue 300 ms after its
+/// message's time is up, and a connection that was cut off silently never answers; so the first wait leaves time
+/// for another try on a new connection. A notice told twice does no harm.
+const ANSWER: Micros = Micros(100_000);
+const ANSWER_MOST: Micros = Micros(2_000_000);
+/// The pause between tries, doubled too.
+const PAUSE: Micros = Micros(10_000);
 const PAUSE_MOST: Micros = Micros(500_000);
 const BATCH: usize = 64;
 
 /// Takes orders for as long as there are any.
 pub fn work(platform: &Platform, orders: &Receiver<Notice>) {
+    let clock = &platform.courier.clock;
     let mut kept: Option<TcpStream> = None;
-    let mut pause = PAUSE;
+    let (mut pause, mut patience) = (PAUSE, ANSWER);
     let mut most = BATCH;
     let mut waiting: Vec<Notice> = Vec::new();
     loop {
@@ -29,9 +35,9 @@
         }
         waiting.extend(orders.try_iter());
         let batch = waiting.len().min(most);
-        match tell(platform, kept.take(), &waiting[..batch]) {
+        match tell(platform, kept.take(), &waiting[..batch], clock.instant(clock.now() + patience)) {
             Ok((204, stream)) => {
-                (kept, pause, most) = (stream, PAUSE, BATCH);
+                (kept, pause, patience, most) = (stream, PAUSE, ANSWER, BATCH);
                 for notice in waiting.drain(..batch) {
                     platform.courier.report(Report::Told(notice.msg));
                 }
@@ -47,6 +53,7 @@
         }
         thread::sleep(std::time::Duration::from_micros(pause.0));
         pause = pause.scale(2.0).min(PAUSE_MOST);
+        patience = patience.scale(2.0).min(ANSWER_MOST);
     }
 }
 
@@ -63,10 +70,8 @@
 }
 
 fn tell(
-    platform: &Platform, kept: Option<TcpStream>, notices: &[Notice],
+    platform: &Platform, kept: Option<TcpStream>, notices: &[Notice], until: Instant,
 ) -> std::io::Result<(u16, Option<TcpStream>)> {
-    let clock = &platform.courier.clock;
-    let until = clock.instant(clock.now() + ANSWER);
     let body: String = notices.iter().map(line).collect();
     let mut text = Vec::with_capacity(body.len() + 128);
     write!(text, "POST /v1/notices HTTP/1.1\r\nHost: {}\r\n", platform.discovery)?;
