Use a partner's higher mail exchangers while the lower are out; test core and resuming

Saw: mail exchangers above the lowest preference were never used. Entries now carry a rank; the module prefers the lowest usable one and counts only endpoints of one rank as siblings. On the platform every rank is 0, so nothing changes there.

--- a/src/api.rs
+++ b/src/api.rs
@@ -297,6 +297,8 @@
     pub state: Listed,
     /// See [`Weights`].
     pub weight: f64,
+    /// Its place among the endpoints of its destination: a higher one is used while no lower one can be.
+    pub rank: u16,
 }
 
 /// How an attempt or a probe ended.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -353,6 +353,7 @@
                 endpoint.credit = (now, 0.0);
             }
             (endpoint.route, endpoint.zone, endpoint.kind) = (id, entry.zone, entry.kind);
+            endpoint.rank = entry.rank;
             endpoint.listed = entry.state;
         }
         let routes = &mut self.routes;
@@ -647,10 +648,13 @@
 
     /// The endpoints that share a route. Danger (a broken rule): an outage mostly takes all of them, and
     /// senders that had seen one fail pushed the destination over by the others; so one speaks for those not
-    /// heard lately, out and back. Harms where a single endpoint fails: the others wait for a trial too.
+    /// heard lately, out and back. Harms where a single endpoint fails: the others wait for a trial too. Those of
+    /// another rank are other machines, there to stand in.
     fn siblings(&self, id: EndpointId) -> Vec<EndpointId> {
-        let route = self.endpoints.get(&id).and_then(|e| self.routes.get(&e.route));
-        route.map_or(Vec::new(), |r| r.endpoints.iter().copied().collect())
+        let Some(e) = self.endpoints.get(&id) else { return Vec::new() };
+        let same = |s: &EndpointId| self.endpoints.get(s).is_some_and(|s| s.rank == e.rank);
+        let route = self.routes.get(&e.route);
+        route.map_or(Vec::new(), |r| r.endpoints.iter().copied().filter(same).collect())
     }
 
     fn back(&mut self, now: Micros, id: EndpointId) {
@@ -818,7 +822,7 @@
     ) -> Option<(EndpointId, Option<u64>)> {
         let slots = self.set.limits.slots.unwrap_or(u32::MAX) as usize;
         let free = slots.saturating_sub(self.busy);
-        let mut best: Option<(f64, EndpointId)> = None;
+        let mut best: Option<((u16, f64), EndpointId)> = None;
         let routes: Vec<_> = self.routes_of(held.message.destination).collect();
         for n in 0..routes.len() {
             let route = routes[from.wrapping_add(n) % routes.len()];
@@ -836,7 +840,7 @@
                         return Some((*id, Some(*call)));
                     }
                 }
-                let cost = e.mean.unwrap_or(0.0) * (e.calls.len() + 1) as f64;
+                let cost = (e.rank, e.mean.unwrap_or(0.0) * (e.calls.len() + 1) as f64);
                 let better = best.is_none_or(|b| cost < b.0);
                 if open && better && self.usable(now, *id, e) && !e.stalled(now) {
                     best = Some((cost, *id));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -142,6 +142,11 @@
         self.state().stop_at = Some(at);
     }
 
+    /// How many messages are owed their end.
+    pub fn owed(&self) -> usize {
+        self.state().msgs.len()
+    }
+
     /// Why the journal can't be kept any more, if so: the courier must end.
     pub fn failed(&self) -> Option<String> {
         self.state().failed.clone()
@@ -332,6 +337,7 @@
                     ListState::Gone => ModuleListed::Gone,
                 },
                 weight: backend.weight,
+                rank: backend.rank,
             };
             let key = (front, backend.name.clone());
             if backend.state == ListState::Gone {
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -116,6 +116,8 @@
     pub state: ListState,
     /// Rate that its destination takes, in calls a second.
     pub weight: f64,
+    /// A higher one is used while no lower one can be.
+    pub rank: u16,
 }
 
 /// What happened.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 //!         zone: ZoneId(0),
 //!         state: Listed::Ready,
 //!         weight: 1.0,
+//!         rank: 0,
 //!     }]),
 //!     Event::Demand(Message {
 //!         id: MessageId(1),
--- a/src/main.rs
+++ b/src/main.rs
@@ -70,7 +70,7 @@
     net::spawn("dispatch", move || net::dispatch(&shared, &fronts)).map_err(fail)?;
     // What is owed has been taken up; only now is anybody answered.
     serve.into_iter().try_for_each(|serve| serve()).map_err(fail)?;
-    eprintln!("indigohold: ready");
+    eprintln!("indigohold: ready; {} messages are owed", courier.owed());
     let mut stopping: Option<Instant> = None;
     let mut swept = Instant::now();
     loop {
@@ -81,6 +81,7 @@
         }
         if stopping.is_none() && signals.pending().next().is_some() {
             stopping = Some(now);
+            eprintln!("indigohold: told to end; {} messages are owed", courier.owed());
             courier.stop(now + EXIT);
         }
         if let Some(since) = stopping.map(|at| now - at) {
@@ -91,6 +92,7 @@
             let open: usize = sessions.iter().map(|s| s.count()).sum();
             let out: usize = conns.iter().map(|c| c.out()).sum();
             if since >= EXIT || since >= CLOSE && open + out == 0 {
+                eprintln!("indigohold: ends; {} messages stay owed, {out} of them out", courier.owed());
                 return Ok(());
             }
         }
--- a/src/net/mail/dns/zone.rs
+++ b/src/net/mail/dns/zone.rs
@@ -43,6 +43,8 @@
     pub name: String,
     /// Where it listens.
     pub addr: SocketAddr,
+    /// Preference or priority: the lowest that can be reached is used.
+    pub rank: u16,
 }
 
 const SMTP_PORT: u16 = 25;
@@ -132,8 +134,8 @@
     }
 
     /// The mail backends of a partner's domain. `_lmtp._tcp` and `_smtp._tcp` service records name port and
-    /// protocol; else the mail exchangers of the lowest preference do, else the domain's own address (RFC 5321,
-    /// section 5.1). Addresses outside of the zone are not known here and not asked for.
+    /// protocol; else the mail exchangers do, else the domain's own address (RFC 5321, section 5.1). A single
+    /// exchanger named "." has no address: that domain takes no mail (RFC 7505). Addresses outside of the zone are not known here and not asked for.
     pub fn backends(&self, domain: &Name) -> Vec<MailBackend> {
         let mut out = Vec::new();
         for (label, word) in [("_lmtp._tcp", "lmtp"), ("_smtp._tcp", "smtp")] {
@@ -142,33 +144,30 @@
             };
             for data in self.get(&service.to_lowercase(), RecordType::SRV) {
                 if let RData::SRV(srv) = data {
-                    self.add(&mut out, word, &srv.target, srv.port);
+                    self.add(&mut out, word, &srv.target, srv.port, srv.priority);
                 }
             }
         }
         if out.is_empty() {
-            let exchangers: Vec<_> = self
-                .get(domain, RecordType::MX)
-                .iter()
-                .filter_map(|d| if let RData::MX(mx) = d { Some(mx) } else { None })
-                .collect();
-            let lowest = exchangers.iter().map(|mx| mx.preference).min();
-            for mx in exchangers.iter().filter(|mx| Some(mx.preference) == lowest) {
-                self.add(&mut out, "smtp", &mx.exchange, SMTP_PORT);
+            let exchangers = self.get(domain, RecordType::MX);
+            for data in exchangers {
+                if let RData::MX(mx) = data {
+                    self.add(&mut out, "smtp", &mx.exchange, SMTP_PORT, mx.preference);
+                }
             }
             if exchangers.is_empty() {
-                self.add(&mut out, "smtp", domain, SMTP_PORT);
+                self.add(&mut out, "smtp", domain, SMTP_PORT, 0);
             }
         }
         out
     }
 
-    fn add(&self, out: &mut Vec<MailBackend>, word: &str, host: &Name, port: u16) {
+    fn add(&self, out: &mut Vec<MailBackend>, word: &str, host: &Name, port: u16, rank: u16) {
         for data in self.get(&host.to_lowercase(), RecordType::A) {
             if let RData::A(a) = data {
                 let addr = SocketAddr::new(IpAddr::V4(a.0), port);
-                let backend = MailBackend { name: format!("{word}/{host}/{addr}"), addr };
-                if !out.contains(&backend) {
+                let backend = MailBackend { name: format!("{word}/{host}/{addr}"), addr, rank };
+                if !out.iter().any(|b: &MailBackend| b.name == backend.name) {
                     out.push(backend);
                 }
             }
--- a/src/net/mail/mod.rs
+++ b/src/net/mail/mod.rs
@@ -168,6 +168,7 @@
                 zone: 0,
                 state: ListState::Up,
                 weight: partner.rate,
+                rank: backend.rank,
             })
         });
         let backends = lines.collect();
--- a/src/net/platform/discovery.rs
+++ b/src/net/platform/discovery.rs
@@ -68,6 +68,7 @@
                 _ => return None,
             },
             weight: self.weight.unwrap_or(1.0),
+            rank: 0,
             name: self.instance_id,
         })
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,8 @@
     pub(crate) route: RouteId,
     pub(crate) zone: ZoneId,
     pub(crate) kind: KindId,
+    /// Endpoints of a higher rank stand in for those of a lower.
+    pub(crate) rank: u16,
     pub(crate) listed: Listed,
     pub(crate) health: Health,
     /// EWMA of failures, 0 to 1.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -66,6 +66,7 @@
         zone: ZoneId(0),
         state: Listed::Ready,
         weight: 1.0,
+        rank: 0,
     }
 }
 
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,202 @@
+//! The facade round the module: what it orders, when, and what outlasts it. No sockets.
+
+mod common;
+
+use common::{class, keyed, settings, S};
+use indigohold::core::*;
+use indigohold::store::Journal;
+use indigohold::{Effect, Micros};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+fn folder(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("indigohold-core-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    path
+}
+
+fn courier(dir: &Path) -> Courier {
+    let mut settings = settings();
+    settings.classes = vec![class(Effect::Safe), class(keyed()), class(Effect::Unsafe)];
+    let clock = Clock::start();
+    let journal = Journal::open(dir, 3_000_000, clock.now()).unwrap();
+    Courier::new(settings, 1, clock, journal)
+}
+
+fn line(name: &str, dest: u16, state: ListState) -> ListLine {
+    let addr: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    ListLine { name: name.into(), addr, dest, kind: 0, zone: 0, state, weight: 1.0, rank: 0 }
+}
+
+fn list(courier: &Courier, front: u8, backends: Vec<ListLine>) {
+    courier.report(Report::List { front, whole: true, backends, fresh: true });
+}
+
+fn req(courier: &Courier, id: &str, front: u8, dest: u16, class: u16) -> Req {
+    Req {
+        id: id.into(),
+        front,
+        dest,
+        class,
+        tenant: 0,
+        due: courier.clock.now() + Micros(20 * S),
+        head: String::new(),
+        body: [1, 2][..].into(),
+        keep_id: courier.clock.now() + Micros(600 * S),
+    }
+}
+
+fn take(courier: &Courier, id: &str, dest: u16, class: u16) -> u64 {
+    match courier.report(Report::Req(req(courier, id, 0, dest, class))) {
+        Answer::Taken(msg) => msg,
+        other => panic!("{id}: {other:?}"),
+    }
+}
+
+/// The next fetch or notice; orders to close idle connections or a withdrawn fetch are passed by.
+fn next(courier: &Courier) -> Order {
+    loop {
+        match courier.pick() {
+            Order::LetGo(_) | Order::Cancel { .. } => {}
+            order => return order,
+        }
+    }
+}
+
+fn fetch(courier: &Courier) -> Fetch {
+    match next(courier) {
+        Order::Fetch(fetch) => fetch,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn done(courier: &Courier, fetch: &Fetch, end: End) {
+    let (fetch, load, said) = (fetch.clone(), Vec::new(), "its last word".to_owned());
+    courier.report(Report::Done { fetch, end, latency: Micros(1000), load, said });
+}
+
+/// Guards against a fetch that begins before its req is answered: its client has not heard that it is taken.
+#[test]
+fn a_fetch_waits_for_the_answer_of_its_req() {
+    let courier = courier(&folder("answer"));
+    list(&courier, 0, vec![line("a", 7, ListState::Up), line("b", 8, ListState::Up)]);
+    let first = take(&courier, "first", 7, 0);
+    let second = take(&courier, "second", 8, 0);
+    courier.report(Report::Answered(second));
+    assert_eq!(fetch(&courier).msg, second, "the first is not answered yet");
+    courier.report(Report::Answered(first));
+    assert_eq!(fetch(&courier).msg, first);
+}
+
+/// Guards against a message that is delivered though its client went before it heard of it.
+#[test]
+fn a_withdrawn_req_is_not_sent_and_frees_its_slot() {
+    let courier = courier(&folder("withdrawn"));
+    list(&courier, 0, vec![line("a", 7, ListState::Up)]);
+    for n in 0..200 {
+        let gone = take(&courier, &format!("gone-{n}"), 7, 2);
+        courier.report(Report::Withdrawn(gone));
+    }
+    let stays = take(&courier, "stays", 7, 2);
+    courier.report(Report::Answered(stays));
+    assert_eq!(fetch(&courier).msg, stays);
+}
+
+#[test]
+fn unknown_destinations_fail_once_the_front_has_a_fresh_list() {
+    let courier = courier(&folder("dest"));
+    let ask = |front, dest| courier.report(Report::Req(req(&courier, "x", front, dest, 0)));
+    let backends = vec![line("a", 7, ListState::Up)];
+    courier.report(Report::List { front: 0, whole: true, backends, fresh: false });
+    assert!(matches!(ask(0, 9), Answer::Refused(_)), "the list may be old");
+    list(&courier, 0, vec![line("a", 7, ListState::Up)]);
+    assert_eq!(ask(0, 9), Answer::NoSuchDest);
+    assert!(matches!(ask(1, 9), Answer::Refused(_)), "the other front has none");
+}
+
+/// Guards against one front's list ending the other's backends, and against a first byte after a drain.
+#[test]
+fn lists_are_kept_apart_and_a_removed_backend_gets_nothing_new() {
+    let courier = courier(&folder("lists"));
+    list(&courier, 0, vec![line("a", 7, ListState::Up)]);
+    list(&courier, 1, vec![line("a", 8, ListState::Up), line("b", 9, ListState::Up)]);
+    let msg = take(&courier, "m", 7, 0);
+    courier.report(Report::Answered(msg));
+    let out = fetch(&courier);
+    list(&courier, 1, vec![line("b", 9, ListState::Up)]);
+    assert_eq!(courier.report(Report::Begin(out.clone())), Answer::Go(true), "the other front's is gone");
+    list(&courier, 0, vec![line("a", 7, ListState::Draining)]);
+    assert_eq!(courier.report(Report::Begin(out)), Answer::Go(false));
+}
+
+#[test]
+fn nothing_begins_that_cannot_finish_before_the_end() {
+    let dir = folder("stop");
+    let courier = courier(&dir);
+    list(&courier, 0, vec![line("a", 7, ListState::Up)]);
+    let msg = take(&courier, "m", 7, 1);
+    courier.report(Report::Answered(msg));
+    let out = fetch(&courier);
+    courier.stop(Instant::now() + Duration::from_millis(100));
+    assert_eq!(courier.report(Report::Begin(out.clone())), Answer::Go(false));
+    done(&courier, &out, End::Unsent);
+    drop(courier);
+    let journal = Journal::open(&dir, 3_000_000, Micros(0)).unwrap();
+    assert_eq!(journal.owed()[&msg].tries, 0, "the next life takes it up as it was");
+}
+
+/// Guards against a repeat in the next life of what may not be repeated, and against its silent end.
+#[test]
+fn a_fetch_out_at_a_kill_may_have_run() {
+    let dir = folder("kill");
+    let before = courier(&dir);
+    list(&before, 0, vec![line("a", 7, ListState::Up)]);
+    let (once, safe) = (take(&before, "once", 7, 2), take(&before, "safe", 7, 0));
+    for msg in [once, safe] {
+        before.report(Report::Answered(msg));
+        let out = fetch(&before);
+        assert_eq!(before.report(Report::Begin(out)), Answer::Go(true));
+    }
+    drop(before);
+    let after = courier(&dir);
+    match next(&after) {
+        Order::Notice(notice) => assert_eq!((notice.msg, notice.verdict), (once, Verdict::GivenUp)),
+        other => panic!("{other:?}"),
+    }
+    list(&after, 0, vec![line("a", 7, ListState::Up)]);
+    let again = fetch(&after);
+    assert_eq!((again.msg, again.attempt), (safe, 1));
+    // Until it is told, the end is owed, also in the life after.
+    drop(after);
+    let last = courier(&dir);
+    match next(&last) {
+        Order::Notice(notice) => assert_eq!(notice.msg, once),
+        other => panic!("{other:?}"),
+    }
+    last.report(Report::Told(once));
+    let known = last.report(Report::Req(req(&last, "once", 0, 7, 2)));
+    assert_eq!(known, Answer::Known, "it may have run, and is recognised when it comes again");
+}
+
+/// Guards against two answers: a refusal for good ends the message with one notice, which has the backend's word.
+#[test]
+fn a_rejected_message_ends_once_and_may_come_again() {
+    let courier = courier(&folder("rejected"));
+    list(&courier, 0, vec![line("a", 7, ListState::Up)]);
+    let msg = take(&courier, "m", 7, 2);
+    courier.report(Report::Answered(msg));
+    let out = fetch(&courier);
+    assert_eq!(courier.report(Report::Begin(out.clone())), Answer::Go(true));
+    done(&courier, &out, End::Rejected);
+    match next(&courier) {
+        Order::Notice(notice) => {
+            assert_eq!((notice.msg, notice.verdict, &*notice.said), (msg, Verdict::GivenUp, "its last word"));
+        }
+        other => panic!("{other:?}"),
+    }
+    courier.report(Report::Told(msg));
+    let again = take(&courier, "m", 7, 2);
+    courier.report(Report::Answered(again));
+    assert_eq!(fetch(&courier).msg, again, "the first one's notice was its only one");
+}
