Bound what a message to many recipients holds; show waits, stand-ins and LMTP replies

Saw, by reading: a message to 100 recipients was copied 100 times before the first was journaled (server.rs, hand_in); near a full folder each refused req had all live segments written again (store, make_room). Changed: one recipient at a time; segments move only where most of what is on disk is dead. Tests: a told wait over mail binds all messages of the partner, a second server stands in for one that can't be reached, a removed one finishes what is out there, LMTP gives one reply for each recipient, updates over TCP. One test first held a transaction open past its own deadline, which rightly moved it; it no longer does.

--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -283,12 +283,11 @@
     /// One req for each recipient. LMTP answers for each by itself; SMTP has one answer for all, so there all
     /// are taken or none. What is taken stands, even if the reply is lost: the client hands it in again, and it
     /// is recognised.
-    fn hand_in(&mut self, text: &[u8]) -> Vec<&'static str> {
-        let reqs: Vec<_> = self.to.iter().map(|to| self.req(to, text)).collect();
+    fn hand_in(&self, text: &[u8]) -> Vec<&'static str> {
         let mut replies = Vec::new();
         let mut taken = Vec::new();
-        for req in reqs {
-            let Some(req) = req else {
+        for to in &self.to {
+            let Some(req) = self.req(to, text) else {
                 replies.push("550 5.6.0 Req-Kind: no such class");
                 continue;
             };
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -284,13 +284,18 @@
 
     /// Room for so many more bytes, with a reserve: to write one segment again, and for the outcomes and ends of
     /// what is owed, which may never be turned away. Danger: one long-lived message keeps the oldest segment and
-    /// all after it; so while more than half the budget is used, the live ones of the oldest move to the tail.
+    /// all after it; so while more than half the budget is used, the live ones of the oldest move to the tail. Not
+    /// where most of it all is live: each req that is refused would have everything written again.
     fn make_room(&mut self, bytes: u64) -> io::Result<bool> {
         let reserve = self.segment_bytes * 4;
         for _ in 0..self.segments.len() {
             if self.segments.len() < 2 || self.on_disk() + bytes <= self.budget / 2 {
                 break;
             }
+            let live: u64 = self.owed.values().map(|o| o.req.body.len() as u64 + 512).sum();
+            if live * 2 > self.on_disk() {
+                break;
+            }
             let oldest: Vec<u64> = self.segments[0].live.iter().copied().collect();
             let moved: u64 =
                 oldest.iter().filter_map(|m| self.owed.get(m)).map(|o| o.req.body.len() as u64 + 512).sum();
--- a/tests/mail.rs
+++ b/tests/mail.rs
@@ -44,6 +44,7 @@
             "partners": [
                 {"domain": "print.example", "dest": 50001, "class": "print-order"},
                 {"domain": "band.example", "dest": 50002, "class": "render-status"},
+                {"domain": "club.example", "dest": 50004, "class": "render-status"},
                 {"domain": "tallowood.example", "dest": 50003, "class": "render-status"}],
             "senders": {"tallowood.example": "tallowood"},
             "classes": {"print-order": {"aim_s": 2, "deadline_s": 30}, "render-status": {"aim_s": 1, "deadline_s": 30}}
@@ -402,3 +403,110 @@
     assert_eq!(ask_dns(dns, &message).metadata.response_code, ResponseCode::Refused);
     assert_eq!(serial(dns), 10);
 }
+
+/// Guards against a wait that one message keeps and another breaks, and a partner pressed while it asked for rest.
+#[test]
+fn a_wait_told_over_mail_binds_every_message_of_the_partner() {
+    let told = std::sync::Arc::new(std::sync::Mutex::new(None::<std::time::Instant>));
+    let (says, heard) = (told.clone(), told.clone());
+    let print = mailbox(false, move |_, _| {
+        let mut told = says.lock().unwrap();
+        match *told {
+            None => {
+                *told = Some(std::time::Instant::now());
+                Fault::Text("451 4.3.2 too busy, try again in 1500 ms")
+            }
+            Some(at) => {
+                assert!(at.elapsed().as_millis() >= 1500, "sent within the wait");
+                Fault::None
+            }
+        }
+    });
+    let home = mailbox(false, |_, _| Fault::None);
+    let site = Site::new(("smtp", print.addr), ("lmtp", home.addr), home.addr);
+    let mut program = site.start();
+    let smtp = program.addr("smtp");
+    let to = ["first@print.example", "second@print.example"];
+    assert!(Client::new(smtp).send("EHLO c", SENDER, &to[..1], &order("w1"))[0].starts_with("250 "));
+    until("the wait", || heard.lock().unwrap().is_some());
+    assert!(Client::new(smtp).send("EHLO c", SENDER, &to[1..], &order("w2"))[0].starts_with("250 "));
+    until("both", || to.iter().all(|t| print.taken(t).len() == 1));
+    assert_eq!(to.map(|t| print.tried(t)), [2, 1]);
+}
+
+/// Guards against a partner lost with its first server, and against a removed backend whose open transaction is
+/// cut off: removal is a drain, what is out there finishes.
+#[test]
+fn a_second_server_stands_in_and_a_removed_one_finishes() {
+    let gate = std::sync::Arc::new((std::sync::Mutex::new(false), std::sync::Condvar::new()));
+    let waits = gate.clone();
+    let slow = mailbox(false, move |_, _| {
+        let (open, changed) = &*waits;
+        drop(changed.wait_while(open.lock().unwrap(), |open| !*open).unwrap());
+        Fault::None
+    });
+    let second = mailbox(false, |_, _| Fault::None);
+    let home = mailbox(false, |_, _| Fault::None);
+    let site = Site::new(("smtp", slow.addr), ("lmtp", home.addr), home.addr);
+    let mut program = site.start();
+    let (smtp, dns) = (program.addr("smtp"), program.addr("dns"));
+    assert!(
+        Client::new(smtp).send("EHLO c", SENDER, &["out@print.example"], &order("s1"))[0].starts_with("250 ")
+    );
+    let mut moved = update("example.");
+    let mut gone = Record::update0(dns_name("_smtp._tcp.print.example."), 0, RecordType::SRV);
+    gone.dns_class = DNSClass::ANY;
+    moved.add_authority(gone);
+    // A server of the lowest priority that nobody listens for, and one that stands in for it.
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    for (priority, port) in [(1, nobody.port()), (2, second.addr.port())] {
+        let srv = SRV::new(priority, 1, port, dns_name("mail.example."));
+        moved.add_authority(Record::from_rdata(dns_name("_smtp._tcp.print.example."), 60, RData::SRV(srv)));
+    }
+    until("the first one is out", || !slow.open.lock().unwrap().is_empty());
+    assert_eq!(ask_dns(dns, &moved).metadata.response_code, ResponseCode::NoError);
+    assert!(Client::new(smtp).send("EHLO c", SENDER, &["next@print.example"], &order("s2"))[0]
+        .starts_with("250 "));
+    until("the one that stands in", || second.taken("next@print.example").len() == 1);
+    *gate.0.lock().unwrap() = true;
+    gate.1.notify_all();
+    until("the one that was out", || slow.taken("out@print.example").len() == 1);
+    assert_eq!(slow.tried("out@print.example") + second.tried("out@print.example"), 1);
+}
+
+/// Guards against one refused recipient that takes the others with it over LMTP, and a reply too few or too many.
+#[test]
+fn lmtp_answers_for_each_recipient() {
+    let print = mailbox(true, |_, _| Fault::None);
+    let home = mailbox(false, |_, _| Fault::None);
+    let site = Site::new(("lmtp", print.addr), ("lmtp", print.addr), home.addr);
+    let mut program = site.start();
+    // No server was ever named for the club: its recipient has to come again, the others are taken.
+    let to = ["a@print.example", "a@print.example", "m@club.example", "b@print.example"];
+    let mut client = Client::new(program.addr("lmtp"));
+    let said = client.send("LHLO c", SENDER, &to, &order("l1"));
+    assert_eq!(said[..2], ["250 2.0.0 taken", "250 2.0.0 taken before"]);
+    assert!(said[2].starts_with("451 4.4.4"), "{said:?}");
+    assert_eq!(said[3], "250 2.0.0 taken");
+    assert!(client.say("NOOP").starts_with("250 "), "and nothing more");
+    until("both", || ["a@print.example", "b@print.example"].iter().all(|t| print.taken(t).len() == 1));
+}
+
+#[test]
+fn updates_come_over_tcp_too() {
+    let print = mailbox(false, |_, _| Fault::None);
+    let site = Site::new(("smtp", print.addr), ("lmtp", print.addr), print.addr);
+    let mut program = site.start();
+    let dns = program.addr("dns");
+    let mut message = update("example.");
+    message.add_authority(service(1));
+    let bytes = message.to_vec().unwrap();
+    let mut stream = std::net::TcpStream::connect(dns).unwrap();
+    stream.write_all(&[&(bytes.len() as u16).to_be_bytes()[..], &bytes].concat()).unwrap();
+    let mut length = [0; 2];
+    std::io::Read::read_exact(&mut stream, &mut length).unwrap();
+    let mut answer = vec![0; usize::from(u16::from_be_bytes(length))];
+    std::io::Read::read_exact(&mut stream, &mut answer).unwrap();
+    assert_eq!(Message::from_vec(&answer).unwrap().metadata.response_code, ResponseCode::NoError);
+    assert_eq!(serial(dns), 11);
+}
--- a/tests/support/mailbox.rs
+++ b/tests/support/mailbox.rs
@@ -34,6 +34,8 @@
 pub struct Mailbox {
     pub addr: SocketAddr,
     pub seen: Arc<Mutex<Vec<Seen>>>,
+    /// Recipients of transactions that have begun.
+    pub open: Arc<Mutex<Vec<String>>>,
 }
 
 impl Mailbox {
@@ -53,18 +55,20 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     let (seen, fault) = (Arc::new(Mutex::new(Vec::new())), Arc::new(fault));
-    let all = seen.clone();
+    let open = Arc::new(Mutex::new(Vec::new()));
+    let (all, begun) = (seen.clone(), open.clone());
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            let (seen, fault) = (all.clone(), fault.clone());
-            thread::spawn(move || drop(session(lmtp, stream, &seen, &*fault)));
+            let (seen, open, fault) = (all.clone(), begun.clone(), fault.clone());
+            thread::spawn(move || drop(session(lmtp, stream, &seen, &open, &*fault)));
         }
     });
-    Mailbox { addr, seen }
+    Mailbox { addr, seen, open }
 }
 
 fn session(
-    lmtp: bool, stream: TcpStream, seen: &Mutex<Vec<Seen>>, fault: &dyn Fn(&str, usize) -> Fault,
+    lmtp: bool, stream: TcpStream, seen: &Mutex<Vec<Seen>>, open: &Mutex<Vec<String>>,
+    fault: &dyn Fn(&str, usize) -> Fault,
 ) -> std::io::Result<()> {
     let mut out = stream.try_clone()?;
     let mut lines = BufReader::new(stream).lines();
@@ -80,11 +84,11 @@
             write!(out, "250 ok\r\n")?;
         } else if upper.starts_with("RCPT TO:") {
             to = inside(&line);
-            let mut seen = seen.lock().unwrap();
-            let nth = seen.iter().filter(|s| s.to == to).count() + 1;
+            open.lock().unwrap().push(to.clone());
+            let nth = seen.lock().unwrap().iter().filter(|s| s.to == to).count() + 1;
             plan = fault(&to, nth);
-            seen.push(Seen { from: from.clone(), to: to.clone(), text: String::new(), taken: false });
-            drop(seen);
+            let one = Seen { from: from.clone(), to: to.clone(), text: String::new(), taken: false };
+            seen.lock().unwrap().push(one);
             match plan {
                 Fault::Rcpt(reply) => write!(out, "{reply}\r\n")?,
                 _ => write!(out, "250 ok\r\n")?,
