--- a/src/net/mail/bounce.rs
+++ b/src/net/mail/bounce.rs
@@ -121,6 +121,8 @@
         .filter(|w| w.split('.').count() == 3 && notice.said.starts_with(&w[..1]));
     let status = own.unwrap_or(status);
     let said = if notice.said.is_empty() { "none" } else { &notice.said };
+    // Only what a server has replied is an SMTP diagnostic.
+    let kind = if notice.said.starts_with(|c: char| c.is_ascii_digit()) { "smtp" } else { "x-courier" };
     let header = header(&notice.req.body);
     let mut out = format!(
         "From: Mail Delivery System <postmaster@{host}>\r\n\
@@ -147,7 +149,7 @@
          Final-Recipient: rfc822; {to}\r\n\
          Action: failed\r\n\
          Status: {status}\r\n\
-         Diagnostic-Code: smtp; {said}\r\n\
+         Diagnostic-Code: {kind}; {said}\r\n\
          \r\n\
          --{id}.report\r\n\
          Content-Type: text/rfc822-headers\r\n\
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -55,7 +55,7 @@
     serde_json::json!({
         "balancers": 1, "discovery": "subscribe", "failureDomains": ["z"], "family": "deliver",
         "familyInfo": {"bundleMax": [1, 1], "fades": "by_half", "kindApart": [false, false], "slots": 7},
-        "invariants": {"answerSlack": 20000, "cold": 11000000, "coldShare": 0.18, "mustAskIn": 10000000,
+        "invariants": {"answerSlack": 20000, "cold": 2000000, "coldShare": 0.18, "mustAskIn": 10000000,
             "overloadFactor": 2.0, "stopSendingWithin": 250000, "tipAfter": 1500000},
         "kinds": ["print-house", "community"],
         "limits": {"cancel": true, "connIdle": 5000000, "connectTimeout": 1500000, "maxOpen": 157,
