--- a/src/net/mail/client.rs
+++ b/src/net/mail/client.rs
@@ -18,6 +18,8 @@
 
 /// A connection that is not up by then is not going to be.
 const CONNECT: Micros = Micros(5_000_000);
+/// The longest wait that is read out of a reply's words; they are prose.
+const WAIT_MOST: Micros = Micros(3_600_000_000);
 /// Extensions of a server, as a kept connection's tag.
 const EIGHT_BIT: u32 = 1;
 
@@ -119,8 +121,8 @@
     if reply.code >= 500 {
         return End::Rejected;
     }
-    match (reply.wait_ms(), reply.enhanced()) {
-        (Some(ms), _) => End::TurnedAway(Some(Micros(ms.saturating_mul(1000)))),
+    match (told_wait(reply), reply.enhanced()) {
+        (Some(wait), _) => End::TurnedAway(Some(wait)),
         // It concerns this address or this mailbox; the partner as a whole is not busy.
         (None, Some((1 | 2 | 6, _))) if reply.code != 421 => End::Unsent,
         (None, None) if matches!(reply.code, 450 | 451) => End::Unsent,
@@ -128,6 +130,10 @@
     }
 }
 
+fn told_wait(reply: &Reply) -> Option<Micros> {
+    reply.wait_ms().map(|ms| Micros(ms.saturating_mul(1000)).min(WAIT_MOST))
+}
+
 fn words(reply: &Reply) -> String {
     format!("{} {}", reply.code, reply.text)
 }
@@ -203,7 +209,7 @@
     let hello = talk.say("")?;
     if hello.code != 220 {
         // The server as a whole refuses; it says nothing of this message.
-        return Err(fault(End::TurnedAway(hello.wait_ms().map(|ms| Micros(ms * 1000))), words(&hello)));
+        return Err(fault(End::TurnedAway(told_wait(&hello)), words(&hello)));
     }
     let host = &mail.config.hostname;
     let mut reply = match protocol {
@@ -215,7 +221,7 @@
         reply.lines.clear();
     }
     if reply.code != 250 {
-        return Err(fault(End::TurnedAway(reply.wait_ms().map(|ms| Micros(ms * 1000))), words(&reply)));
+        return Err(fault(End::TurnedAway(told_wait(&reply)), words(&reply)));
     }
     let has = |name: &str| reply.lines.iter().skip(1).any(|l| l.eq_ignore_ascii_case(name));
     Ok(if has("8BITMIME") { EIGHT_BIT } else { 0 })
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 use support::*;
 
@@ -150,6 +151,47 @@
     until("the notice of the next life", || discovery.noticed("late").is_some());
 }
 
+/// Guards against a notice that is lost with a connection that was cut off: such a one stays open and silent.
+#[test]
+fn a_notice_is_told_until_it_is_heard() {
+    let endpoint = endpoint(|_, _| Act::Hang);
+    let list = instance("s-1", endpoint.addr, 3, "up");
+    let discovery = discovery(std::slice::from_ref(&list));
+    discovery.mute.store(2, Ordering::SeqCst);
+    let folder = Folder::new();
+    let mut program = Program::start(&folder.0, &config(&discovery, &list, 20_000), None);
+    let addr = program.addr("platform");
+    assert_eq!(ask(addr, api("n1", "print-order", 300, 3, "x").as_bytes()).status(), 202);
+    until("the notice", || discovery.noticed("n1").is_some());
+    assert_eq!(discovery.mute.load(Ordering::SeqCst), 0, "both that were not answered came first");
+}
+
+/// Guards against a list that grows old behind a watch that died without a word: discovery's machine vanished,
+/// and the connection stays open.
+#[test]
+fn a_silent_watch_is_opened_anew() {
+    let (old, new) = (endpoint(|_, _| Act::Answer(OK)), endpoint(|_, _| Act::Answer(OK)));
+    let list = instance("s-1", old.addr, 3, "up");
+    let discovery = discovery(std::slice::from_ref(&list));
+    discovery.silent.store(1, Ordering::SeqCst);
+    let folder = Folder::new();
+    let mut program = Program::start(&folder.0, &config(&discovery, &list, 20_000), None);
+    let addr = program.addr("platform");
+    until("the first watch", || discovery.watches.load(Ordering::SeqCst) == 1);
+    // Time for the first list to be told; if it is not, the second watch tells the same news.
+    assert_eq!(ask(addr, api("q1", "render-status", 5000, 3, "x").as_bytes()).status(), 202);
+    until("the first call", || old.count("q1") == 1);
+    *discovery.list.lock().unwrap() =
+        (8, [instance("s-1", old.addr, 3, "draining"), instance("s-2", new.addr, 3, "up")].join(","));
+    until("the second watch", || discovery.watches.load(Ordering::SeqCst) == 2);
+    until("a call to the new one", || {
+        let id = format!("q{}", new.calls.lock().unwrap().len() + old.calls.lock().unwrap().len() + 2);
+        assert_eq!(ask(addr, api(&id, "render-status", 5000, 3, "x").as_bytes()).status(), 202);
+        until("its call", || old.count(&id) + new.count(&id) == 1);
+        new.count(&id) == 1
+    });
+}
+
 /// Guards against a told wait that one message keeps and another breaks.
 #[test]
 fn a_told_wait_binds_all_messages_of_the_destination() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -258,6 +258,11 @@
     pub addr: SocketAddr,
     pub list: Arc<Mutex<(u64, String)>>,
     pub notices: Arc<Mutex<Vec<serde_json::Value>>>,
+    /// So many calls with notices get no answer, as on a connection that was cut off silently.
+    pub mute: Arc<AtomicUsize>,
+    /// Watches opened so far; the first so many of them say nothing after their list.
+    pub watches: Arc<AtomicUsize>,
+    pub silent: Arc<AtomicUsize>,
 }
 
 /// One line of its list.
@@ -272,15 +277,23 @@
     let addr = listener.local_addr().unwrap();
     let list = Arc::new(Mutex::new((7, instances.join(","))));
     let notices = Arc::new(Mutex::new(Vec::new()));
+    let (mute, watches, silent): (Arc<AtomicUsize>, Arc<AtomicUsize>, Arc<AtomicUsize>) = Default::default();
     let (shared, told) = (list.clone(), notices.clone());
+    let (muted, opened, hushed) = (mute.clone(), watches.clone(), silent.clone());
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let (list, notices) = (shared.clone(), told.clone());
+            let (mute, watches, silent) = (muted.clone(), opened.clone(), hushed.clone());
             thread::spawn(move || {
                 let mut writer = stream.try_clone().unwrap();
                 let mut reader = BufReader::new(stream);
                 while let Some(call) = read_http(&mut reader) {
                     if call.head[0].starts_with("POST /v1/notices ") {
+                        if mute.load(Ordering::SeqCst) > 0 {
+                            mute.fetch_sub(1, Ordering::SeqCst);
+                            thread::sleep(LONG);
+                            return;
+                        }
                         let text = String::from_utf8(call.body).unwrap();
                         notices
                             .lock()
@@ -295,8 +308,13 @@
                         call.head
                     );
                     writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+                    let number = watches.fetch_add(1, Ordering::SeqCst);
                     let mut told = 0;
                     loop {
+                        if told > 0 && number < silent.load(Ordering::SeqCst) {
+                            thread::sleep(LONG);
+                            return;
+                        }
                         let (version, instances) = list.lock().unwrap().clone();
                         let line = if version == told {
                             "\n".to_owned()
@@ -315,7 +333,7 @@
             });
         }
     });
-    Discovery { addr, list, notices }
+    Discovery { addr, list, notices, mute, watches, silent }
 }
 
 impl Discovery {
