--- a/src/choice.rs
+++ b/src/choice.rs
@@ -648,7 +648,7 @@
 
     /// The endpoints that share a route. Danger (a broken rule): an outage mostly takes all of them, and
     /// senders that had seen one fail pushed the destination over by the others; so one speaks for those not
-    /// heard lately, out and back. Harms where a single endpoint fails: the others wait for a trial too. Those
+    /// heard lately, out and back. Harms where one endpoint fails: the others wait for a trial too. Those
     /// of another rank are other machines, there to stand in.
     fn siblings(&self, id: EndpointId) -> Vec<EndpointId> {
         let Some(e) = self.endpoints.get(&id) else { return Vec::new() };
@@ -840,7 +840,7 @@
                         return Some((*id, Some(*call)));
                     }
                 }
-                // Danger: every repeat is spent on a trial of the endpoint that failed, none on its stand-in.
+                // Danger: each repeat is spent on a trial of the endpoint that failed, none on its stand-in.
                 let above = |s: &EndpointId| self.endpoints.get(s).is_some_and(|s| s.rank > e.rank);
                 let spent = held.tries > 0 && matches!(e.health, Health::Out { .. });
                 let rank = if spent && route.endpoints.iter().any(above) { u16::MAX } else { e.rank };
