--- a/tests/mail.rs
+++ b/tests/mail.rs
@@ -432,6 +432,8 @@
     assert!(Client::new(smtp).send("EHLO c", SENDER, &to[1..], &order("w2"))[0].starts_with("250 "));
     until("both", || to.iter().all(|t| print.taken(t).len() == 1));
     assert_eq!(to.map(|t| print.tried(t)), [2, 1]);
+    // One within the wait panics in the server's thread, with this lock held.
+    assert!(!heard.is_poisoned(), "sent within the wait");
 }
 
 /// Guards against a partner lost with its first server, and against a removed backend whose open transaction is
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -223,6 +223,8 @@
     until("the wait", || heard.lock().unwrap().is_some());
     assert_eq!(ask(addr, api("w2", "print-order", 20_000, 3, "x").as_bytes()).status(), 202);
     until("both", || endpoint.count("w1") == 2 && endpoint.count("w2") == 1);
+    // A call within the wait panics in the endpoint's thread, with this lock held.
+    assert!(!heard.is_poisoned(), "sent within the wait");
 }
 
 /// Guards against an end by SIGTERM that is too late, loses a request, or counts as a failure.
