--- a/src/config.rs
+++ b/src/config.rs
@@ -1,9 +1,12 @@
-//! The courier's configuration: `NODE_CONFIG`, decoded once. What the environment says beside it comes first.
+//! The courier's configuration: `NODE_CONFIG`, decoded once and again on SIGHUP. What the environment says of the
+//! listening address comes before it. Danger: a process can't be given a new environment, so the file comes first for
+//! discovery, which moves while the courier runs; else a move would be undone by the next start.
 
 use crate::net::platform::discovery::List;
 use crate::settings::Document;
 use serde::Deserialize;
 use std::env;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 #[derive(Deserialize)]
@@ -29,8 +32,7 @@
 pub struct Config {
     /// Where clients connect; `None`: the platform's front is off.
     pub listen: Option<String>,
-    /// Where discovery is.
-    pub discovery: Option<String>,
+    discovery: Option<String>,
     /// The folder that lasts.
     pub state: PathBuf,
     /// The mail front's file; there need not be one.
@@ -47,6 +49,14 @@
     pub settings: Document,
 }
 
+impl Config {
+    /// Where discovery is.
+    pub fn discovery(&self) -> Result<SocketAddr, String> {
+        let text = self.discovery.as_deref().ok_or("discovery: not set")?;
+        text.parse().map_err(|e| format!("discovery: {text}: {e}"))
+    }
+}
+
 /// Reads the configuration; an error is one line.
 pub fn read() -> Result<Config, String> {
     let path = env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG: not set".to_owned())?;
@@ -60,7 +70,7 @@
     };
     Ok(Config {
         listen: env::var("NODE_LISTEN").ok().or(file.listen),
-        discovery: env::var("NODE_DISCOVERY").ok().or(file.discovery),
+        discovery: file.discovery.or_else(|| env::var("NODE_DISCOVERY").ok()),
         state: PathBuf::from(state),
         mail: env::var("NODE_MAIL").unwrap_or_else(|_| "deploy/mail.json".to_owned()).into(),
         seed,
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,8 @@
 use indigohold::core::{Clock, Courier, Report};
 use indigohold::net::{self, mail, platform};
 use indigohold::store::Journal;
-use std::net::{SocketAddr, TcpListener};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::net::TcpListener;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::thread;
@@ -16,9 +17,11 @@
 
 /// Starts a front's listeners.
 type Serve = Box<dyn FnOnce() -> std::io::Result<()>>;
+/// Takes over what a front can change while it runs.
+type Reload = Box<dyn Fn(&Config) -> Result<(), String>>;
 
 fn main() -> ExitCode {
-    match config::read().and_then(run) {
+    match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("indigohold: {}", message.replace('\n', " "));
@@ -27,10 +30,12 @@
     }
 }
 
-fn run(config: Config) -> Result<(), String> {
-    // First of all: from here on SIGTERM is heard and not fatal.
-    let terms = [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT];
-    let mut signals = signal_hook::iterator::Signals::new(terms).map_err(|e| format!("signals: {e}"))?;
+fn run() -> Result<(), String> {
+    // First of all: from here on no signal is fatal.
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])
+        .map_err(|e| format!("signals: {e}"))?;
+    let config = config::read()?;
+    let discovery = config.discovery();
     let (known, state) = (config.known, config.state);
     let (mut settings, names) = config.settings.split()?;
     let mail_config = mail::config::read(&config.mail, &mut settings, &names)?;
@@ -46,8 +51,9 @@
     let courier = Arc::new(Courier::new(settings, config.seed, clock, journal));
     let fail = |e: std::io::Error| format!("starting: {e}");
     let (mut fronts, mut sessions, mut serve) = (Vec::new(), Vec::new(), Vec::<Serve>::new());
+    let mut reloads = Vec::<Reload>::new();
     if let Some(listen) = config.listen {
-        let discovery = address("discovery", config.discovery.as_deref())?;
+        let discovery = discovery?;
         let version = known.generation;
         let backends = known.backends(&names);
         courier.report(Report::List { front: platform::FRONT, whole: true, backends, fresh: false });
@@ -56,6 +62,8 @@
         let listener = TcpListener::bind(&listen).map_err(|e| format!("listen: {listen}: {e}"))?;
         fronts.push(front);
         sessions.push(platform.sessions.clone());
+        let shared = platform.clone();
+        reloads.push(Box::new(move |config| config.discovery().map(|addr| shared.site.move_to(addr))));
         serve.push(Box::new(move || platform::serve(&platform, listener)));
     }
     if let Some(mail_config) = mail_config {
@@ -63,6 +71,11 @@
         let (mail, front) = mail::start(&courier, mail_config, slots, &state)?;
         fronts.push(front);
         sessions.push(mail.sessions.clone());
+        let shared = mail.clone();
+        reloads.push(Box::new(move |_| {
+            shared.reload();
+            Ok(())
+        }));
         serve.push(Box::new(move || mail::serve(&mail, listeners)));
     }
     let conns: Vec<_> = fronts.iter().map(|f| f.conns.clone()).collect();
@@ -79,10 +92,17 @@
         if let Some(e) = courier.failed() {
             return Err(format!("NODE_STATE: {e}"));
         }
-        if stopping.is_none() && signals.pending().next().is_some() {
-            stopping = Some(now);
-            eprintln!("indigohold: told to end; {} messages are owed", courier.owed());
-            courier.stop(now + EXIT);
+        for signal in signals.pending() {
+            if signal == SIGHUP {
+                // Danger: a file that can't be read must not take a courier down that still knows its own.
+                if let Err(e) = reload(&reloads) {
+                    eprintln!("indigohold: the configuration stays as it was: {}", e.replace('\n', " "));
+                }
+            } else if stopping.is_none() {
+                stopping = Some(now);
+                eprintln!("indigohold: told to end; {} messages are owed", courier.owed());
+                courier.stop(now + EXIT);
+            }
         }
         if let Some(since) = stopping.map(|at| now - at) {
             if since >= CLOSE {
@@ -104,7 +124,8 @@
     }
 }
 
-fn address(what: &str, text: Option<&str>) -> Result<SocketAddr, String> {
-    let text = text.ok_or(format!("{what}: not set"))?;
-    text.parse().map_err(|e| format!("{what}: {text}: {e}"))
+/// On SIGHUP: the file is read whole before anything of it is used.
+fn reload(fronts: &[Reload]) -> Result<(), String> {
+    let config = config::read()?;
+    fronts.iter().try_for_each(|reload| reload(&config))
 }
--- a/src/net/mail/mod.rs
+++ b/src/net/mail/mod.rs
@@ -89,7 +89,7 @@
         let shared = mail.clone();
         spawn("zones", move || loop {
             std::thread::sleep(RELOAD);
-            shared.zones().iter().for_each(|z| z.reload());
+            shared.reload();
         })?;
         Ok(())
     };
@@ -150,6 +150,11 @@
 }
 
 impl Mail {
+    /// Looks at the zone files.
+    pub fn reload(&self) {
+        self.zones().iter().for_each(|z| z.reload());
+    }
+
     fn zones(&self) -> Option<&Zones> {
         self.zones.get()
     }
--- a/src/net/platform/discovery.rs
+++ b/src/net/platform/discovery.rs
@@ -74,11 +74,20 @@
     }
 }
 
-/// Opens a watch whenever one is asked for, and reports until it ends.
+/// Opens a watch whenever one is asked for, and reports until it ends. One that ended because discovery has moved is
+/// opened anew at once.
 pub fn work(platform: &Platform, orders: &Receiver<()>, mut version: u64) {
-    for () in orders {
-        if let Err(e) = watch(platform, &mut version) {
-            eprintln!("indigohold: the watch on the list ended: {e}");
+    while let Ok(()) = orders.recv() {
+        loop {
+            // One watch serves all wishes so far.
+            orders.try_iter().for_each(drop);
+            let addr = platform.site.addr();
+            if let Err(e) = watch(platform, &mut version) {
+                eprintln!("indigohold: the watch on the list at {addr} ended: {e}");
+            }
+            if platform.site.addr() == addr {
+                break;
+            }
         }
         platform.courier.report(Report::ListFailed);
     }
@@ -88,11 +97,9 @@
     let clock = &platform.courier.clock;
     let within = |span| clock.instant(clock.now() + span);
     let until = within(FIRST);
-    let stream = conn::connect(platform.discovery, until)?;
-    let request = format!(
-        "GET /registry/instances?watch=1&after={version} HTTP/1.1\r\nHost: {}\r\n\r\n",
-        platform.discovery
-    );
+    let stream = platform.site.connect(until)?;
+    let host = stream.peer_addr()?;
+    let request = format!("GET /registry/instances?watch=1&after={version} HTTP/1.1\r\nHost: {host}\r\n\r\n");
     conn::write_all(&stream, request.as_bytes(), until)?;
     let mut buf = platform.pool.get();
     let mut lines = Lines::default();
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod notices;
 pub mod session;
+pub mod site;
 
 use super::conn::Conns;
 use super::pool::Pool;
@@ -13,6 +14,7 @@
 use crate::core::Courier;
 use crate::settings::Names;
 use crossbeam_channel::unbounded;
+use site::Site;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -33,8 +35,8 @@
     pub pool: Pool,
     /// The fetches' connections.
     pub conns: Arc<Conns>,
-    /// Where discovery is.
-    pub discovery: SocketAddr,
+    /// Where discovery is, and the connections to it.
+    pub site: Site,
     /// Client sessions.
     pub sessions: Arc<Sessions>,
 }
@@ -45,12 +47,13 @@
 ) -> io::Result<(Arc<Platform>, Front)> {
     let keep = Duration::from_secs_f64(names.conn_idle.secs() * KEEP_SHARE);
     let conns = Arc::new(Conns::new(keep, sockets / 8, b""));
+    let (watch, watch_orders) = unbounded();
     let platform = Arc::new(Platform {
         courier: courier.clone(),
         names,
         pool: Pool::new(64),
         conns: conns.clone(),
-        discovery,
+        site: Site::new(discovery, watch.clone()),
         sessions: Arc::new(Sessions::new(sockets / 2)),
     });
     let (fetches, fetch_orders) = unbounded();
@@ -61,7 +64,6 @@
     let (notices, notice_orders) = unbounded();
     let shared = platform.clone();
     spawn("notices", move || notices::work(&shared, &notice_orders))?;
-    let (watch, watch_orders) = unbounded();
     let shared = platform.clone();
     spawn("watch", move || discovery::work(&shared, &watch_orders, version))?;
     Ok((platform, Front { number: FRONT, fetches, notices, watch: Some(watch), conns }))
--- a/src/net/platform/notices.rs
+++ b/src/net/platform/notices.rs
@@ -8,6 +8,7 @@
 use crossbeam_channel::Receiver;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::thread;
 use std::time::Instant;
 
@@ -24,7 +25,7 @@
 /// Takes orders for as long as there are any.
 pub fn work(platform: &Platform, orders: &Receiver<Notice>) {
     let clock = &platform.courier.clock;
-    let mut kept: Option<TcpStream> = None;
+    let mut kept: Option<Arc<TcpStream>> = None;
     let (mut pause, mut patience) = (PAUSE, ANSWER);
     let mut most = BATCH;
     let mut waiting: Vec<Notice> = Vec::new();
@@ -70,16 +71,17 @@
 }
 
 fn tell(
-    platform: &Platform, kept: Option<TcpStream>, notices: &[Notice], until: Instant,
-) -> std::io::Result<(u16, Option<TcpStream>)> {
+    platform: &Platform, kept: Option<Arc<TcpStream>>, notices: &[Notice], until: Instant,
+) -> std::io::Result<(u16, Option<Arc<TcpStream>>)> {
     let body: String = notices.iter().map(line).collect();
-    let mut text = Vec::with_capacity(body.len() + 128);
-    write!(text, "POST /v1/notices HTTP/1.1\r\nHost: {}\r\n", platform.discovery)?;
-    write!(text, "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
-    let stream = match kept.filter(conn::quiet) {
+    // Where discovery has moved, its old connections have ended and are not quiet.
+    let stream = match kept.filter(|stream| conn::quiet(stream)) {
         Some(stream) => stream,
-        None => conn::connect(platform.discovery, until)?,
+        None => platform.site.connect(until)?,
     };
+    let mut text = Vec::with_capacity(body.len() + 128);
+    write!(text, "POST /v1/notices HTTP/1.1\r\nHost: {}\r\n", stream.peer_addr()?)?;
+    write!(text, "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
     conn::write_all(&stream, &text, until)?;
     let mut buf = platform.pool.get();
     let mut filled = 0;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -233,9 +233,8 @@
     let mut program = Program::start(&folder.0, &config(&discovery, &list, 20_000), None);
     let addr = program.addr("platform");
     let mut idle = TcpStream::connect(addr).unwrap();
-    let pid = program.child.id().to_string();
     let begun = Instant::now();
-    assert!(std::process::Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    program.signal("TERM");
     assert_eq!(ask(addr, api("t1", "print-order", 20_000, 3, "x").as_bytes()).status(), 202);
     until("the call", || endpoint.count("t1") == 1);
     assert_eq!(idle.read(&mut [0]).unwrap(), 0, "closed between requests");
@@ -263,3 +262,52 @@
         assert_eq!(program.child.wait().unwrap().code(), Some(1));
     }
 }
+
+/// Guards against a courier that dies of SIGHUP, takes a bad file for a good one, or goes on asking and telling the
+/// old discovery: its watch, its kept connection, a notice that waits for an answer there, and the next start.
+#[test]
+fn sighup_moves_discovery_and_a_bad_file_does_not() {
+    let (before, after) = (endpoint(|_, _| Act::Hang), endpoint(|_, _| Act::Answer(OK)));
+    let (one, two) = (instance("s-1", before.addr, 3, "up"), instance("s-2", after.addr, 4, "up"));
+    let old = discovery(std::slice::from_ref(&one));
+    let new = discovery(&[one.clone(), two.clone()]);
+    new.list.lock().unwrap().0 = 8;
+    let folder = Folder::new();
+    let first = config(&old, &one, 20_000);
+    let mut program = Program::start(&folder.0, &first, None);
+    let addr = program.addr("platform");
+    until("the first watch", || old.watches.load(Ordering::SeqCst) == 1);
+    assert_eq!(ask(addr, api("h1", "print-order", 300, 3, "x").as_bytes()).status(), 202);
+    until("a notice on a connection that is kept", || old.noticed("h1").is_some());
+
+    folder.write("config.json", "{\"discovery\":");
+    program.signal("HUP");
+    let said = program.line_with("the configuration stays as it was");
+    assert!(said.contains("NODE_CONFIG"), "{said}");
+    let mut nowhere = first.clone();
+    nowhere["discovery"] = "nowhere".into();
+    folder.write("config.json", &nowhere.to_string());
+    program.signal("HUP");
+    program.line_with("discovery: nowhere");
+    assert_eq!(old.watches.load(Ordering::SeqCst), 1, "the watch was left alone");
+
+    // A notice waits for its answer at the old address, which stays silent for good.
+    old.mute.store(1000, Ordering::SeqCst);
+    assert_eq!(ask(addr, api("h2", "print-order", 300, 3, "x").as_bytes()).status(), 202);
+    until("the notice under way", || old.mute.load(Ordering::SeqCst) < 1000);
+    let second = config(&new, &one, 20_000);
+    folder.write("config.json", &second.to_string());
+    program.signal("HUP");
+    until("the notice at the new address", || new.noticed("h2").is_some());
+    until("the new watch", || new.watches.load(Ordering::SeqCst) == 1);
+    let to_new = || ask(addr, api("h3", "render-status", 5000, 4, "x").as_bytes()).status();
+    until("the list of the new address", || to_new() == 202);
+    until("the call", || after.count("h3") == 1);
+
+    // The environment of the next start still names the old address.
+    program.kill();
+    let watches = old.watches.load(Ordering::SeqCst);
+    let _program = Program::spawn_with(&folder.0, &second.to_string(), None, Some(old.addr));
+    until("the watch of the next life", || new.watches.load(Ordering::SeqCst) == 2);
+    assert_eq!(old.watches.load(Ordering::SeqCst), watches);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -88,14 +88,25 @@
     }
 
     pub fn spawn(folder: &Path, config: &str, mail: Option<&Path>) -> Program {
+        Program::spawn_with(folder, config, mail, None)
+    }
+
+    /// With a discovery in its environment too.
+    pub fn spawn_with(
+        folder: &Path, config: &str, mail: Option<&Path>, discovery: Option<SocketAddr>,
+    ) -> Program {
         let path = folder.join("config.json");
         fs::write(&path, config).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_indigohold"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_indigohold"));
+        command.env_remove("NODE_DISCOVERY");
+        if let Some(addr) = discovery {
+            command.env("NODE_DISCOVERY", addr.to_string());
+        }
+        let mut child = command
             .env("NODE_CONFIG", &path)
             .env("NODE_STATE", folder.join("state"))
             .env("NODE_MAIL", mail.unwrap_or(Path::new("/nonexistent/mail.json")))
             .env_remove("NODE_LISTEN")
-            .env_remove("NODE_DISCOVERY")
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -140,6 +151,12 @@
         self.line(&format!("indigohold: {what} on ")).parse().unwrap()
     }
 
+    /// A signal, by name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
+    }
+
     /// SIGKILL.
     pub fn kill(mut self) {
         self.child.kill().unwrap();
