--- a/src/net/mail/dns/server.rs
+++ b/src/net/mail/dns/server.rs
@@ -5,6 +5,7 @@
 use crate::api::Micros;
 use crate::core::Clock;
 use crate::net::conn;
+use crate::net::sessions::Place;
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::{DNSClass, Name, Record, RecordType};
 use std::fs;
@@ -205,7 +206,7 @@
     }
 
     /// Answers one TCP connection, one question after another.
-    pub fn serve_tcp(&self, clock: &Clock, stream: &TcpStream) -> io::Result<()> {
+    pub fn serve_tcp(&self, clock: &Clock, stream: &TcpStream, place: &Place) -> io::Result<()> {
         let from = stream.peer_addr()?.ip();
         loop {
             let until = clock.instant(clock.now() + QUESTION);
@@ -213,9 +214,11 @@
             fill(stream, &mut length, until)?;
             let mut question = vec![0; usize::from(u16::from_be_bytes(length))];
             fill(stream, &mut question, until)?;
+            place.busy();
             let Some(answer) = self.answer(from, &question) else { return Ok(()) };
             let length = u16::try_from(answer.len()).map_err(|_| io::Error::from(ErrorKind::InvalidData))?;
             conn::write_all(stream, &[&length.to_be_bytes()[..], &answer].concat(), until)?;
+            place.idle();
         }
     }
 }
--- a/src/net/mail/mod.rs
+++ b/src/net/mail/mod.rs
@@ -11,7 +11,7 @@
 
 use super::conn::Conns;
 use super::pool::Pool;
-use super::sessions::{self, Sessions};
+use super::sessions::{self, Place, Room, Sessions};
 use super::{spawn, Front};
 use crate::core::{Courier, ListLine, ListState, Report};
 use config::MailConfig;
@@ -25,8 +25,17 @@
 
 /// Number of this front in the journal.
 pub const FRONT: u8 = 1;
-/// Client sessions at most; each may hold a message.
-const SESSIONS_MOST: usize = 64;
+/// Client sessions; each may hold a message. Clients may take minutes over a command (RFC 5321, section 4.5.3.2),
+/// but not while others find no place.
+const ROOM: Room = Room {
+    most: 64,
+    silent: Duration::from_secs(5),
+    idle: Duration::from_secs(5),
+    stuck: Duration::from_secs(20),
+    full: FULL,
+};
+/// What a client hears when all are taken by others that are at work.
+const FULL: &str = "421 4.3.2 too many sessions, come again later\r\n";
 /// How long an idle connection to a partner is kept: servers wait for minutes.
 const KEEP: Duration = Duration::from_secs(20);
 /// How often the zone files are looked at.
@@ -64,7 +73,7 @@
         config,
         pool: Pool::new(16),
         conns: conns.clone(),
-        sessions: Arc::new(Sessions::new(SESSIONS_MOST)),
+        sessions: Arc::new(Sessions::new(ROOM)),
         zones: OnceLock::new(),
     });
     let shared = Arc::downgrade(&mail);
@@ -128,7 +137,7 @@
         }
     }
     for (listener, session) in [
-        (listeners.smtp, server::smtp as fn(&Mail, &std::net::TcpStream) -> io::Result<()>),
+        (listeners.smtp, server::smtp as fn(&Mail, &std::net::TcpStream, &Place) -> io::Result<()>),
         (listeners.lmtp, server::lmtp),
     ] {
         if let Some(listener) = listener {
@@ -140,8 +149,8 @@
         let shared = mail.clone();
         spawn("dns-udp", move || shared.zones().iter().for_each(|z| z.serve_udp(&udp)))?;
         let shared = mail.clone();
-        let answered = |mail: &Mail, stream: &std::net::TcpStream| match mail.zones() {
-            Some(zones) => zones.serve_tcp(&mail.courier.clock, stream),
+        let answered = |mail: &Mail, stream: &std::net::TcpStream, place: &Place| match mail.zones() {
+            Some(zones) => zones.serve_tcp(&mail.courier.clock, stream, place),
             None => Ok(()),
         };
         spawn("dns-tcp", move || sessions::listen(&tcp, &shared.sessions, &shared, answered))?;
--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -11,6 +11,7 @@
 use crate::core::{Answer, Report, Req};
 use crate::net::conn;
 use crate::net::pool::Buf;
+use crate::net::sessions::Place;
 use sha2::{Digest, Sha256};
 use smtp_proto::{Request, MAIL_BODY_BINARYMIME, MAIL_BY_RETURN};
 use std::io::{self, ErrorKind};
@@ -28,18 +29,19 @@
 const HOPS_MOST: usize = 50;
 
 /// An SMTP session.
-pub fn smtp(mail: &Mail, stream: &TcpStream) -> io::Result<()> {
-    Session::new(mail, stream, Protocol::Smtp).run()
+pub fn smtp(mail: &Mail, stream: &TcpStream, place: &Place) -> io::Result<()> {
+    Session::new(mail, stream, place, Protocol::Smtp).run()
 }
 
 /// An LMTP session.
-pub fn lmtp(mail: &Mail, stream: &TcpStream) -> io::Result<()> {
-    Session::new(mail, stream, Protocol::Lmtp).run()
+pub fn lmtp(mail: &Mail, stream: &TcpStream, place: &Place) -> io::Result<()> {
+    Session::new(mail, stream, place, Protocol::Lmtp).run()
 }
 
 struct Session<'a> {
     mail: &'a Mail,
     stream: &'a TcpStream,
+    place: &'a Place,
     protocol: Protocol,
     buf: Buf,
     /// What has been read lies between these.
@@ -61,10 +63,10 @@
 }
 
 impl<'a> Session<'a> {
-    fn new(mail: &'a Mail, stream: &'a TcpStream, protocol: Protocol) -> Session<'a> {
+    fn new(mail: &'a Mail, stream: &'a TcpStream, place: &'a Place, protocol: Protocol) -> Session<'a> {
         let buf = mail.pool.get();
         let (hello, from, to) = (None, None, Vec::new());
-        Session { mail, stream, protocol, buf, start: 0, filled: 0, hello, from, to, faults: 0 }
+        Session { mail, stream, place, protocol, buf, start: 0, filled: 0, hello, from, to, faults: 0 }
     }
 
     fn within(&self, span: Micros) -> std::time::Instant {
@@ -99,6 +101,12 @@
             };
             self.start += line.len() + 2;
             let (reply, next) = self.command(&line);
+            // Outside a transaction it may make room for another.
+            if next == Next::Text || self.from.is_some() {
+                self.place.busy();
+            } else {
+                self.place.idle();
+            }
             if next == Next::Text {
                 self.say(&reply)?;
                 self.text()?;
@@ -256,6 +264,7 @@
                 break;
             }
             self.fill(until)?;
+            self.place.busy();
         }
         let fault = match text.bad {
             Some(BadText::Bare) => Some("554 5.6.0 lines end in CR LF and nothing else"),
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -9,7 +9,7 @@
 
 use super::conn::Conns;
 use super::pool::Pool;
-use super::sessions::{self, Sessions};
+use super::sessions::{self, Room, Sessions};
 use super::{spawn, Front};
 use crate::core::Courier;
 use crate::settings::Names;
@@ -25,6 +25,19 @@
 /// Share of an endpoint's idle limit for which a connection is kept.
 const KEEP_SHARE: f64 = 0.8;
 
+/// A client sends its request as soon as it is connected, and waits 400 ms for the answer; what takes longer makes
+/// room for a newcomer. A session without an open request may be closed after 2 s.
+const ROOM: Room = Room {
+    most: 0, // by the configuration
+    silent: Duration::from_millis(250),
+    idle: Duration::from_secs(2),
+    stuck: Duration::from_millis(500),
+    full: FULL,
+};
+/// What a client hears when all sessions are taken by others that have a request open.
+const FULL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /// What the threads of this front share.
 pub struct Platform {
     /// The core.
@@ -54,7 +67,7 @@
         pool: Pool::new(64),
         conns: conns.clone(),
         site: Site::new(discovery, watch.clone()),
-        sessions: Arc::new(Sessions::new(sockets / 2)),
+        sessions: Arc::new(Sessions::new(Room { most: sockets / 2, ..ROOM })),
     });
     let (fetches, fetch_orders) = unbounded();
     for _ in 0..slots {
--- a/src/net/platform/session.rs
+++ b/src/net/platform/session.rs
@@ -7,28 +7,34 @@
 use crate::core::{Answer, Report, Req};
 use crate::net::conn;
 use crate::net::pool::Buf;
+use crate::net::sessions::Place;
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, TcpStream};
 
-/// How long a session may idle, and how long one request may take to come in.
-const IDLE: Micros = Micros(120_000_000);
-const REQUEST: Micros = Micros(10_000_000);
-const WRITE: Micros = Micros(2_000_000);
+/// How long a session may say nothing at first, how long it may idle, and how long one request may take to come in.
+/// Danger: clients that send nothing, or half a request, hold a place; they are owed a close within 3 s, and whoever
+/// means it has long given up by then.
+const SILENT: Micros = Micros(2_500_000);
+const IDLE: Micros = Micros(30_000_000);
+const REQUEST: Micros = Micros(2_500_000);
+const WRITE: Micros = Micros(500_000);
 /// The longest id, key and deadline that are taken.
 const NAME_MOST: usize = 256;
 const DEADLINE_MS_MOST: u64 = 24 * 3600 * 1000;
 
 /// Serves one connection to its end. An error means that it broke.
-pub fn serve(platform: &Platform, stream: &TcpStream) -> io::Result<()> {
+pub fn serve(platform: &Platform, stream: &TcpStream, place: &Place) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let clock = &platform.courier.clock;
     let within = |span| clock.instant(clock.now() + span);
     let mut early: Option<(Buf, usize)> = None;
+    let mut patience = SILENT;
     loop {
         // An idle session holds no buffer.
-        if early.is_none() && !conn::wait_byte(stream, within(IDLE))? {
+        if early.is_none() && !conn::wait_byte(stream, within(patience))? {
             return Ok(());
         }
+        place.busy();
         let (mut buf, mut filled) = early.take().unwrap_or_else(|| (platform.pool.get(), 0));
         let until = within(REQUEST);
         let head = loop {
@@ -53,9 +59,12 @@
         if close {
             return finish(platform, stream);
         }
+        patience = IDLE;
         if filled > end {
             buf.copy_within(end..filled, 0);
             early = Some((buf, filled - end));
+        } else {
+            place.idle();
         }
     }
 }
--- a/src/net/sessions.rs
+++ b/src/net/sessions.rs
@@ -1,51 +1,140 @@
-//! The client sessions of a front: a thread for each connection, bounded in number.
+//! The client sessions of a front: a thread for each connection, bounded in number. Danger: clients that say nothing,
+//! or asked once and stay, take every place; so when all are taken the one that matters least makes room.
 
 use super::spawn;
 use std::collections::HashMap;
-use std::io::{self, ErrorKind};
+use std::io::{self, ErrorKind, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
-/// The sessions that are open, so that the end of the process can close them between requests.
+/// How long a newcomer waits for a place.
+const PLACE: Duration = Duration::from_millis(250);
+
+/// How many sessions a front has, and which of them may be closed to make room for a newcomer.
+pub struct Room {
+    /// So many at most.
+    pub most: usize,
+    /// One whose client has said nothing yet, after so long.
+    pub silent: Duration,
+    /// One without an open request, after so long.
+    pub idle: Duration,
+    /// One whose request has got no further for so long.
+    pub stuck: Duration,
+    /// What a newcomer hears for whom there is none.
+    pub full: &'static str,
+}
+
+/// What a session is at. The order is that in which sessions make room.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum At {
+    /// Connected, and nothing said yet.
+    Silent,
+    /// Between requests.
+    Idle,
+    /// A request is coming in or being answered.
+    Busy,
+    /// Told to make room.
+    Leaving,
+}
+
+struct Entry {
+    stream: Arc<TcpStream>,
+    at: At,
+    since: Instant,
+}
+
+/// The sessions that are open, so that newcomers find room and the end of the process can close them.
 pub struct Sessions {
-    most: usize,
+    room: Room,
     closing: AtomicBool,
-    open: Mutex<(u64, HashMap<u64, Arc<TcpStream>>)>,
+    open: Mutex<(u64, HashMap<u64, Entry>)>,
+    left: Condvar,
+}
+
+/// One session's place among the others; dropping it gives the place up.
+pub struct Place {
+    of: Arc<Sessions>,
+    number: u64,
+}
+
+impl Place {
+    /// A request has begun to come in, or has got further.
+    pub fn busy(&self) {
+        self.of.mark(self.number, At::Busy);
+    }
+
+    /// The session has no open request.
+    pub fn idle(&self) {
+        self.of.mark(self.number, At::Idle);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.of.open().1.remove(&self.number);
+        self.of.left.notify_one();
+    }
 }
 
 impl Sessions {
-    /// Room for so many.
-    pub fn new(most: usize) -> Sessions {
-        Sessions { most, closing: AtomicBool::new(false), open: Mutex::default() }
+    /// None yet.
+    pub fn new(room: Room) -> Sessions {
+        Sessions { room, closing: AtomicBool::new(false), open: Mutex::default(), left: Condvar::new() }
     }
 
-    fn enter(&self, stream: &Arc<TcpStream>) -> Option<u64> {
-        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if open.1.len() >= self.most {
-            return None;
+    fn open(&self) -> MutexGuard<'_, (u64, HashMap<u64, Entry>)> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn mark(&self, number: u64, at: At) {
+        if let Some(entry) = self.open().1.get_mut(&number).filter(|e| e.at != At::Leaving) {
+            (entry.at, entry.since) = (at, Instant::now());
         }
-        open.0 += 1;
-        let number = open.0;
-        open.1.insert(number, stream.clone());
-        Some(number)
     }
 
-    fn leave(&self, number: u64) {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner).1.remove(&number);
+    /// A place, if there is one or one can be made. Who makes room sees the end of what its client sends: a request
+    /// that has come in by then is still answered.
+    fn enter(self: &Arc<Sessions>, stream: &Arc<TcpStream>) -> Option<Place> {
+        let until = Instant::now() + PLACE;
+        let mut open = self.open();
+        while open.1.len() >= self.room.most {
+            let now = Instant::now();
+            let spare = |e: &&mut Entry| match e.at {
+                At::Silent => e.since + self.room.silent <= now,
+                At::Idle => e.since + self.room.idle <= now,
+                At::Busy => e.since + self.room.stuck <= now,
+                At::Leaving => false,
+            };
+            if let Some(entry) = open.1.values_mut().filter(spare).min_by_key(|e| (e.at, e.since)) {
+                entry.at = At::Leaving;
+                // An error says that it is closed already.
+                let _ = entry.stream.shutdown(Shutdown::Read);
+            }
+            let left = until.checked_duration_since(now).filter(|left| !left.is_zero())?;
+            // Nobody says so when a session becomes old enough.
+            let soon = left.min(Duration::from_millis(20));
+            open = self.left.wait_timeout(open, soon).unwrap_or_else(PoisonError::into_inner).0;
+        }
+        open.0 += 1;
+        let number = open.0;
+        open.1.insert(number, Entry { stream: stream.clone(), at: At::Silent, since: Instant::now() });
+        drop(open);
+        Some(Place { of: self.clone(), number })
     }
 
     /// How many are open.
     pub fn count(&self) -> usize {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner).1.len()
+        self.open().1.len()
     }
 
     /// Every session ends after the request that it is reading, and at once if it reads none.
     pub fn close(&self) {
         self.closing.store(true, Ordering::SeqCst);
-        for stream in self.open.lock().unwrap_or_else(PoisonError::into_inner).1.values() {
+        for entry in self.open().1.values() {
             // What has come in can still be read; then the session sees an end.
-            let _ = stream.shutdown(Shutdown::Read);
+            let _ = entry.stream.shutdown(Shutdown::Read);
         }
     }
 
@@ -58,7 +147,7 @@
 /// Accepts connections for as long as the process lives; each gets a thread of its own.
 pub fn listen<T: Send + Sync + 'static>(
     listener: &TcpListener, sessions: &Arc<Sessions>, shared: &Arc<T>,
-    serve: fn(&T, &TcpStream) -> io::Result<()>,
+    serve: fn(&T, &TcpStream, &Place) -> io::Result<()>,
 ) {
     loop {
         let stream = match listener.accept() {
@@ -66,21 +155,21 @@
             Err(e) => {
                 // No descriptor was free, or the client went again.
                 if e.kind() != ErrorKind::ConnectionAborted {
-                    std::thread::sleep(std::time::Duration::from_millis(5));
+                    std::thread::sleep(Duration::from_millis(5));
                 }
                 continue;
             }
         };
-        // Past the most sessions, a connection is closed with nothing read from it.
-        let Some(number) = sessions.enter(&stream) else { continue };
-        let (of, shared) = (sessions.clone(), shared.clone());
-        let session = move || {
-            // An error says that the connection broke: there is nobody to tell.
-            let _ = serve(&shared, &stream);
-            of.leave(number);
+        let Some(place) = sessions.enter(&stream) else {
+            // It has just connected, so these few bytes fit into its buffer. An error says that it is gone.
+            let _ = (&*stream).write(sessions.room.full.as_bytes());
+            continue;
         };
-        if spawn("session", session).is_err() {
-            sessions.leave(number);
-        }
+        let shared = shared.clone();
+        // A thread that can't be started drops its place and its connection.
+        let _ = spawn("session", move || {
+            // An error says that the connection broke: there is nobody to tell.
+            let _ = serve(&shared, &stream, &place);
+        });
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -311,3 +311,53 @@
     until("the watch of the next life", || new.watches.load(Ordering::SeqCst) == 2);
     assert_eq!(old.watches.load(Ordering::SeqCst), watches);
 }
+
+/// Guards against places that are held by clients without a request: those that say nothing, that asked once and
+/// stay, or that stop in the middle of a request. Newcomers find room, and each of them is closed.
+#[test]
+fn sessions_without_a_request_make_room() {
+    let endpoint = endpoint(|_, _| Act::Answer(OK));
+    let list = instance("s-1", endpoint.addr, 3, "up");
+    let discovery = discovery(std::slice::from_ref(&list));
+    let folder = Folder::new();
+    let mut config = config(&discovery, &list, 20_000);
+    config["limits"]["sockets"] = 128.into();
+    let mut program = Program::start(&folder.0, &config, None);
+    let addr = program.addr("platform");
+    let connect = |text: &str| {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        stream
+    };
+    let asked_once = || {
+        let mut reader = BufReader::new(connect("GET /health/ready HTTP/1.1\r\n\r\n"));
+        let status = read_http(&mut reader).map(|answer| answer.status());
+        (status, reader)
+    };
+    let half =
+        api("half", "print-order", 20_000, 3, "half").replace("Content-Length: 4", "Content-Length: 5");
+    let mut kept = Vec::new();
+    for begins in ["", "POST /ap", &half] {
+        // More of them than there are places, and then one who means it.
+        let begun = Instant::now();
+        let mut held: Vec<TcpStream> = (0..70).map(|_| connect(begins)).collect();
+        until("a place", || {
+            let (status, reader) = asked_once();
+            kept.push(reader);
+            status == Some(200)
+        });
+        for stream in &mut held {
+            // An error: it was closed with something unread.
+            let _ = stream.read_to_end(&mut Vec::new());
+        }
+        assert!(begun.elapsed().as_secs() < 8, "{begins:?}: closed after {:?}", begun.elapsed());
+    }
+    let mut stay = Vec::new();
+    until("all places taken by those who stay", || {
+        stay.push(asked_once());
+        stay.len() == 70
+    });
+    until("a place for one more", || asked_once().0 == Some(200));
+    assert_eq!(stay[0].1.read(&mut [0]).unwrap(), 0, "the one idle longest made room");
+}
