--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,6 +45,10 @@
 /// A time-out or a break says less: a bad network makes two in a row often, four seldom.
 const TROUBLE_GAIN_LOST: f64 = 0.2;
 const TROUBLE_OUT: f64 = 0.5;
+/// Danger: lines break by chance, and a call lost that way took an endpoint out, cold for long, that had just
+/// served others. One that served so lately is not out by one lost call; one out for less was not out at all.
+const LATELY: Micros = Micros(1_000_000);
+const BLIP: Micros = Micros(3_000_000);
 /// Danger: a destination that refuses so often in a row, though its report says that so much of its limit is
 /// left, is shut; many senders with a message each would push it over when it opens. It is an outage.
 const SHUT_LEFT: f32 = 0.9;
@@ -105,7 +109,11 @@
 // ---- The design ----
 
 impl RetryBudget {
-    fn deposit(&mut self, now: Micros) {
+    pub(crate) fn deposit(&mut self, now: Micros) {
+        // Danger: where nothing is repeated, nothing else drops what has expired.
+        while self.deposits.front().is_some_and(|d| d.0 <= now) {
+            self.deposits.pop_front();
+        }
         self.deposits.push_back((now + DEPOSIT_LIFE, DEPOSIT));
     }
 
@@ -194,6 +202,10 @@
         self.mean.map(|m| m + UPPER_DEVIATIONS * self.deviation)
     }
 
+    fn served_within(&self, now: Micros, span: Micros) -> bool {
+        self.last_ok > Micros(0) && self.last_ok + span > now
+    }
+
     fn answered(&mut self, latency: Micros) {
         self.timeouts = 0;
         let x = latency.secs();
@@ -515,7 +527,7 @@
                 }
                 let usual = own_rate(&self.destinations, now, e.route.0);
                 route.pace.refused(now, out.sent, self.hope.clamp(HOPE_MIN, HOPE_MAX), usual);
-                e.last_heard = now;
+                (e.last_heard, e.lost) = (now, false);
                 if e.health == Health::HalfOpen {
                     self.take_out(now, out.endpoint, actions);
                 }
@@ -533,9 +545,11 @@
                 // some and serves others meanwhile; it is not out. A failed connect takes out at once.
                 let served_since = e.last_ok > out.sent;
                 e.trouble += if served_since { 0.0 } else { (1.0 - e.trouble) * gain };
-                let tried = matches!(e.health, Health::HalfOpen | Health::Ramp { .. });
-                let down = outcome == Outcome::ConnectFailed && !served_since;
-                if down || tried || e.trouble > TROUBLE_OUT {
+                e.lost = outcome != Outcome::Error;
+                let lately = e.lost && e.served_within(now, LATELY);
+                let cold = matches!(e.health, Health::Ramp { .. }) && !lately;
+                let down = outcome == Outcome::ConnectFailed && !served_since && !lately;
+                if down || cold || e.health == Health::HalfOpen || e.trouble > TROUBLE_OUT {
                     self.take_out(now, out.endpoint, actions);
                 }
             }
@@ -544,9 +558,12 @@
 
     fn seen_alive(&mut self, now: Micros, id: EndpointId, actions: &mut Vec<Action>) {
         let Some(e) = self.endpoints.get_mut(&id) else { return };
+        let blip = e.lost && e.served_within(now, BLIP);
         (e.last_ok, e.last_heard) = (now, now);
         e.trouble *= 1.0 - TROUBLE_GAIN;
-        if matches!(e.health, Health::Out { .. } | Health::HalfOpen) {
+        if matches!(e.health, Health::Out { .. } | Health::HalfOpen) && blip {
+            self.was_blip(now, id);
+        } else if matches!(e.health, Health::Out { .. } | Health::HalfOpen) {
             if self.set.limits.notes && e.noted + NOTE_APART <= now {
                 e.noted = now;
                 actions.push(Action::Note { to: None, bytes: id.bytes().to_vec() });
@@ -556,6 +573,23 @@
         }
     }
 
+    /// Nothing was out: what was taken out with this endpoint is in use again, and who joins is not cold.
+    fn was_blip(&mut self, now: Micros, id: EndpointId) {
+        let Some(at) = self.endpoints.get(&id).map(|e| e.out_at) else { return };
+        let mut all = true;
+        for sibling in self.siblings(id) {
+            let Some(e) = self.endpoints.get_mut(&sibling) else { continue };
+            if sibling == id || e.out_at == at && matches!(e.health, Health::Out { .. }) {
+                (e.health, e.trouble) = (Health::Up, 0.0);
+            }
+            all &= e.health == Health::Up;
+        }
+        let route = self.endpoints.get(&id).and_then(|e| self.routes.get_mut(&e.route));
+        if let (true, Some(route)) = (all, route) {
+            route.out_until = now;
+        }
+    }
+
     /// Danger: with few messages each, senders would learn of a return by one trial each, minutes apart. A
     /// note names an endpoint that has answered its sender after an outage. It is a hint: it opens the ramp,
     /// no more; one that is malformed or about an endpoint in use changes nothing, and a wrong one is taken
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,6 +39,8 @@
     pub(crate) rank: u16,
     pub(crate) listed: Listed,
     pub(crate) health: Health,
+    /// The last failure was a call lost on the way, not an answer.
+    pub(crate) lost: bool,
     /// EWMA of failures, 0 to 1.
     pub(crate) trouble: f64,
     pub(crate) mean: Option<f64>,
@@ -156,3 +158,20 @@
         self.waits() && (self.risk.is_none() || self.effect == Effect::Safe)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a bucket that grows for as long as nothing is repeated.
+    #[test]
+    fn deposits_that_have_expired_are_dropped() {
+        let mut budget = RetryBudget::default();
+        (0..10_000).for_each(|n| budget.deposit(Micros(n * 100_000)));
+        assert!(
+            budget.deposits.len() <= 101,
+            "{}: a tenth of a second apart, ten seconds long",
+            budget.deposits.len()
+        );
+    }
+}
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -468,3 +468,42 @@
     let done: Vec<u64> = (10..25).flat_map(|id| answers(&b.demand(id, 7, 1))).collect();
     assert!(!done.is_empty() && done.iter().all(|id| *id < 10), "{done:?}");
 }
+
+/// Incident: one refused connection to an endpoint that had served 50 ms before cut its traffic to a cold one's for
+/// 11 s, and each call lost in that time began it anew.
+#[test]
+fn a_lost_call_is_no_outage_of_an_endpoint_that_served_just_before() {
+    let mut b = Bench::new(settings(), vec![entry(1, 7)]);
+    b.now += S;
+    b.demand(1, 7, 2);
+    b.returns(1, Outcome::Ok);
+    b.demand(2, 7, 2);
+    b.returns(2, Outcome::ConnectFailed);
+    assert_eq!(tries(&b.demand(3, 7, 2)), [3], "one is not");
+    b.returns(3, Outcome::ConnectFailed);
+    assert!(tries(&b.demand(4, 7, 2)).is_empty(), "two in a row are");
+    // The trial succeeds at once: nobody was out for long enough to be cold.
+    assert!(b.wait(S).iter().any(|a| matches!(a, Action::Try { .. })));
+    let trial = b.out[0].id;
+    b.returns(trial, Outcome::Ok);
+    let sent: usize = (10..15).map(|id| tries(&b.demand(id, 7, 2)).len()).sum();
+    assert_eq!(sent, 5, "no cold ramp");
+}
+
+/// Guards against a destination pushed over: what did not serve lately is out at once, and cold when it is back.
+#[test]
+fn a_lost_call_after_a_silence_is_an_outage() {
+    let mut b = Bench::new(settings(), vec![entry(1, 7)]);
+    b.now += S;
+    b.demand(1, 7, 2);
+    b.returns(1, Outcome::Ok);
+    b.now += 4 * S;
+    b.demand(2, 7, 2);
+    b.returns(2, Outcome::ConnectFailed);
+    assert!(tries(&b.demand(3, 7, 2)).is_empty(), "out at once");
+    assert!(b.wait(S).iter().any(|a| matches!(a, Action::Try { .. })));
+    let trial = b.out[0].id;
+    b.returns(trial, Outcome::Ok);
+    let sent: usize = (10..15).map(|id| tries(&b.demand(id, 7, 2)).len()).sum();
+    assert!(sent < 5, "{sent}: it is cold");
+}
