--- a/src/api.rs
+++ b/src/api.rs
@@ -310,6 +310,8 @@
     Error,
     /// Turned away unseen, perhaps with a time to wait.
     Full(Option<Micros>),
+    /// The answer can't be trusted; may have taken effect. If it told a time to wait, that binds.
+    Spoilt(Option<Micros>),
     /// No answer in time; may have taken effect or still do so.
     Timeout,
     /// No connection in time; never ran.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -434,7 +434,7 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(out) = held.out.take_if(|o| o.attempt == attempt) else { return };
         let may_still_run = matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
-        if may_still_run || outcome == Outcome::Error {
+        if may_still_run || matches!(outcome, Outcome::Error | Outcome::Spoilt(_)) {
             held.risk.get_or_insert((out.sent, out.endpoint));
         }
         if let (Some(lane), true) = (held.message.key.and_then(|k| self.lanes.get_mut(&k)), may_still_run) {
@@ -476,7 +476,7 @@
     ) {
         let Some(e) = self.endpoints.get_mut(&out.endpoint) else { return };
         let Some(route) = self.routes.get_mut(&e.route) else { return };
-        if let Outcome::Full(Some(wait)) = outcome {
+        if let Outcome::Full(Some(wait)) | Outcome::Spoilt(Some(wait)) = outcome {
             route.wait_until = route.wait_until.max(now + wait);
         }
         let Some(call) = e.calls.get_mut(&out.call) else { return };
@@ -532,9 +532,13 @@
                     self.take_out(now, out.endpoint, actions);
                 }
             }
-            Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => {
+            Outcome::Error
+            | Outcome::Spoilt(_)
+            | Outcome::Timeout
+            | Outcome::ConnectFailed
+            | Outcome::Reset => {
                 let gain = match outcome {
-                    Outcome::Timeout | Outcome::Reset => TROUBLE_GAIN_LOST,
+                    Outcome::Timeout | Outcome::Reset | Outcome::Spoilt(_) => TROUBLE_GAIN_LOST,
                     _ => TROUBLE_GAIN,
                 };
                 match outcome {
@@ -826,10 +830,21 @@
         let mut queue: Vec<_> = self.held.values().filter(ready).map(urgency).collect();
         queue.sort_unstable();
         let mut bundles: BTreeMap<EndpointId, (u64, u32)> = BTreeMap::new();
+        // Danger: with hundreds held for a destination that is out, each round would look there hundreds of
+        // times; where one that may go to any endpoint finds none, no other will in this round.
+        let mut closed = BTreeSet::new();
         for (.., id) in queue {
             let Some(held) = self.held.get(&id) else { continue };
             let from = self.rng.next_u64() as usize;
-            let Some((endpoint, joins)) = self.pick(now, held, from, &bundles) else { continue };
+            if closed.contains(&held.message.destination) {
+                continue;
+            }
+            let Some((endpoint, joins)) = self.pick(now, held, from, &bundles) else {
+                if held.risk.is_none() {
+                    closed.insert(held.message.destination);
+                }
+                continue;
+            };
             let destination = self.destinations.entry(held.message.destination).or_default();
             let first = held.tries == 0;
             if first {
--- a/src/config.rs
+++ b/src/config.rs
@@ -25,9 +25,19 @@
 #[serde(default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
     disk_mb: Option<f64>,
 }
 
+/// What the process may hold at once.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Descriptors.
+    pub sockets: usize,
+    /// Bytes of memory.
+    pub memory: usize,
+}
+
 /// What the program needs to know.
 pub struct Config {
     /// Where clients connect; `None`: the platform's front is off.
@@ -39,8 +49,8 @@
     pub mail: PathBuf,
     /// For random numbers.
     pub seed: u64,
-    /// Descriptors that may be held.
-    pub sockets: usize,
+    /// What its process may hold.
+    pub bounds: Bounds,
     /// Room in the folder that lasts.
     pub disk_mb: f64,
     /// The list as last known.
@@ -74,7 +84,10 @@
         state: PathBuf::from(state),
         mail: env::var("NODE_MAIL").unwrap_or_else(|_| "deploy/mail.json".to_owned()).into(),
         seed,
-        sockets: file.limits.sockets.unwrap_or(1024).clamp(64, 65_536),
+        bounds: Bounds {
+            sockets: file.limits.sockets.unwrap_or(1024).clamp(64, 65_536),
+            memory: (file.limits.memory_mb.unwrap_or(192.0).clamp(16.0, 65_536.0) * 1e6) as usize,
+        },
         disk_mb: file.limits.disk_mb.unwrap_or(64.0),
         known: file.known.unwrap_or_default(),
         settings: file.settings,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -292,6 +292,7 @@
         let (outcome, over) = match end {
             End::Delivered => (Outcome::Ok, true),
             End::Failed => (Outcome::Error, false),
+            End::Spoilt(wait) => (Outcome::Spoilt(wait), false),
             End::TurnedAway(wait) => (Outcome::Full(wait), false),
             End::Unsent => (Outcome::Moot, false),
             End::Over | End::Rejected => (Outcome::Moot, true),
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -63,6 +63,8 @@
     Delivered,
     /// The backend answered with an error; it may have run.
     Failed,
+    /// Its answer can't be read, or is not whole; it may have run. A wait that it tells binds all the same.
+    Spoilt(Option<Micros>),
     /// Turned away unseen, perhaps with a wait.
     TurnedAway(Option<Micros>),
     /// Never sent, by the courier's own decision or for want of a slot.
@@ -84,7 +86,8 @@
 impl End {
     /// Whether the fetch may have taken effect.
     pub fn may_have_run(self) -> bool {
-        matches!(self, End::Delivered | End::Failed | End::Broke | End::TimedOut | End::CalledOff)
+        use End::*;
+        matches!(self, Delivered | Failed | Spoilt(_) | Broke | TimedOut | CalledOff)
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -58,7 +58,7 @@
         let backends = known.backends(&names);
         courier.report(Report::List { front: platform::FRONT, whole: true, backends, fresh: false });
         let (platform, front) =
-            platform::start(&courier, config.sockets, names, slots, discovery, version).map_err(fail)?;
+            platform::start(&courier, config.bounds, names, slots, discovery, version).map_err(fail)?;
         let listener = TcpListener::bind(&listen).map_err(|e| format!("listen: {listen}: {e}"))?;
         fronts.push(front);
         sessions.push(platform.sessions.clone());
@@ -119,6 +119,7 @@
         if now - swept > Duration::from_millis(250) {
             swept = now;
             conns.iter().for_each(|c| c.sweep());
+            sessions.iter().for_each(|s| s.sweep());
         }
         thread::sleep(next.saturating_duration_since(Instant::now()));
     }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -53,10 +53,13 @@
     Ok(())
 }
 
-/// Waits for a first byte without taking it; `false` at the end.
-pub fn wait_byte(stream: &TcpStream, until: Instant) -> io::Result<bool> {
+/// Waits for a first byte without taking it; `false` at the end. It has no deadline of its own: whoever keeps the
+/// session's time ends its input. Danger: a process that is held to its part of a core by being stopped gets each read
+/// that has a time-out interrupted each time; hundreds of idle sessions that set it anew use up that part by themselves,
+/// while a read without one goes on inside the kernel.
+pub fn wait_byte(stream: &TcpStream) -> io::Result<bool> {
+    stream.set_read_timeout(None)?;
     loop {
-        stream.set_read_timeout(Some(left(until)?))?;
         match stream.peek(&mut [0]) {
             Ok(n) => return Ok(n > 0),
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- a/src/net/mail/mod.rs
+++ b/src/net/mail/mod.rs
@@ -32,6 +32,8 @@
     silent: Duration::from_secs(5),
     idle: Duration::from_secs(5),
     stuck: Duration::from_secs(20),
+    silent_most: Duration::from_secs(300),
+    idle_most: Duration::from_secs(300),
     full: FULL,
 };
 /// What a client hears when all are taken by others that are at work.
@@ -71,7 +73,7 @@
     let mail = Arc::new(Mail {
         courier: courier.clone(),
         config,
-        pool: Pool::new(16),
+        pool: Pool::new(16, ROOM.most),
         conns: conns.clone(),
         sessions: Arc::new(Sessions::new(ROOM)),
         zones: OnceLock::new(),
--- a/src/net/platform/fetch.rs
+++ b/src/net/platform/fetch.rs
@@ -1,6 +1,6 @@
 //! Fetches: one attempt each, at one backend, over one connection. What fails is reported; nothing is sent again.
 
-use super::http::{self, AnswerHead, Body};
+use super::http::{self, AnswerHead};
 use super::Platform;
 use crate::api::Micros;
 use crate::core::{Answer, End, Fetch, Report};
@@ -77,15 +77,9 @@
         // of its endpoint: it may have been closed for its idleness just now.
         return Done::without_answer(if reused { End::Unsent } else { End::NotConnected });
     }
-    match read_answer(platform, &stream, &mut buf, until) {
-        Ok((head, whole)) => {
-            let end = end_of(&head);
-            let latency = Micros(sent.elapsed().as_micros() as u64);
-            let spare = (whole && !head.close).then_some(stream);
-            Done { end, latency, load: head.load, spare }
-        }
-        Err(end) => Done { latency: Micros(sent.elapsed().as_micros() as u64), ..Done::without_answer(end) },
-    }
+    let heard = hear(platform, &stream, &mut buf, until);
+    let latency = Micros((heard.at - sent).as_micros() as u64);
+    Done { end: heard.end, latency, load: heard.load, spare: heard.reusable.then_some(stream) }
 }
 
 fn end_of(head: &AnswerHead) -> End {
@@ -114,32 +108,80 @@
     Some(size - unused)
 }
 
-/// Reads the answer. Its first line decides; whether its body came whole decides only on the connection.
-fn read_answer(
-    platform: &Platform, stream: &TcpStream, buf: &mut Buf, until: Instant,
-) -> Result<(AnswerHead, bool), End> {
-    let (mut start, mut filled) = (0, 0);
+/// The rest of an answer comes right behind its first byte; a body that is of no use is not waited for as long.
+const REST: Micros = Micros(300_000);
+const REST_UNUSED: Micros = Micros(30_000);
+/// Interim answers (1xx) before the final one.
+const INTERIM_MOST: usize = 16;
+
+struct Heard {
+    end: End,
+    load: Vec<f32>,
+    /// When it was clear.
+    at: Instant,
+    /// The answer was whole, with nothing behind it.
+    reusable: bool,
+}
+
+/// Reads the answer. Danger: it may be noise, cut off or without end. A first line that says 200 is true whatever
+/// follows. Any other answer proves nothing unless it is whole and nothing follows: the call may have run. None of
+/// them holds the slot until the deadline.
+fn hear(platform: &Platform, stream: &TcpStream, buf: &mut Buf, until: Instant) -> Heard {
+    let clock = &platform.courier.clock;
+    let within = |span| until.min(clock.instant(clock.now() + span));
+    let no_answer = |end| Heard { end, load: Vec::new(), at: Instant::now(), reusable: false };
+    let spoilt =
+        |bytes: &[u8]| no_answer(if http::says_200(bytes) { End::Delivered } else { End::Spoilt(None) });
+    let (mut filled, mut interim) = (0, 0);
+    // Set while a part of an answer is there.
+    let mut rest: Option<Instant> = None;
     let head = loop {
-        match conn::read(stream, &mut buf[filled..], until) {
-            Ok(0) => return Err(End::Broke),
-            Ok(n) => filled += n,
-            Err(e) if conn::timed_out(&e) => return Err(End::TimedOut),
-            Err(_) => return Err(End::Broke),
-        }
-        match http::answer(&buf[start..filled], &platform.names.load) {
-            Ok(Some(head)) if head.status < 200 => start += head.head,
-            Ok(Some(head)) => break head,
+        match http::answer(&buf[..filled], &platform.names.load) {
+            Ok(Some(head)) if head.status < 200 && interim < INTERIM_MOST => {
+                interim += 1;
+                buf.copy_within(head.head..filled, 0);
+                filled -= head.head;
+                rest = None;
+                // What is there already may be the next answer.
+                continue;
+            }
+            Ok(Some(head)) if head.status >= 200 => break head,
             Ok(None) => {}
-            Err(_) => return Err(End::Failed),
+            Ok(Some(_)) | Err(_) => return spoilt(&buf[..filled]),
         }
-    };
-    let Body::Length(body) = head.body else { return Ok((head, false)) };
-    let end = start + head.head + body;
-    while filled < end && end <= buf.len() {
-        match conn::read(stream, &mut buf[filled..], until) {
+        if filled > 0 {
+            rest.get_or_insert_with(|| within(REST));
+        }
+        match conn::read(stream, &mut buf[filled..], rest.unwrap_or(until)) {
             Ok(n) if n > 0 => filled += n,
-            _ => return Ok((head, false)),
+            Err(e) if conn::timed_out(&e) && rest.is_none() => return no_answer(End::TimedOut),
+            Err(e) if conn::timed_out(&e) => return spoilt(&buf[..filled]),
+            _ if http::says_200(&buf[..filled]) => return no_answer(End::Delivered),
+            _ => return no_answer(End::Broke),
+        }
+    };
+    let (at, end) = (Instant::now(), end_of(&head));
+    // Only a refusal is worth waiting for its body: it must be whole to be believed.
+    let refusal = !end.may_have_run();
+    let limit = within(if refusal { REST } else { REST_UNUSED });
+    let mut ended = false;
+    let whole = loop {
+        match head.end(&buf[..filled], ended) {
+            Ok(Some(n)) => break n == filled,
+            Ok(None) if !ended && filled < buf.len() => {}
+            _ => break false,
+        }
+        match conn::read(stream, &mut buf[filled..], limit) {
+            Ok(0) => ended = true,
+            Ok(n) => filled += n,
+            Err(_) => break false,
+        }
+    };
+    match end {
+        End::TurnedAway(wait) if !whole => {
+            Heard { end: End::Spoilt(wait), load: Vec::new(), at, reusable: false }
         }
+        _ if refusal && !whole => no_answer(End::Spoilt(None)),
+        _ => Heard { end, load: head.load, at, reusable: whole && !head.close },
     }
-    Ok((head, filled == end))
 }
--- a/src/net/platform/http.rs
+++ b/src/net/platform/http.rs
@@ -4,6 +4,8 @@
 use crate::net::pool::{BODY_MOST, HEAD_MOST};
 
 const HEADERS_MOST: usize = 64;
+/// The longest told wait that is believed; no message lives so long.
+const WAIT_MOST: Micros = Micros(600_000_000);
 
 /// Why a request can't be read; the status that says so.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -181,38 +183,96 @@
         over_slots: false,
         load: Vec::new(),
     };
-    if matches!(status, 100..=199 | 204 | 304) {
-        out.body = Body::Length(0);
-    }
+    let (mut length, mut chunked) = (None, false);
     for header in parsed.headers.iter() {
-        let Ok(value) = std::str::from_utf8(header.value) else { continue };
+        // What is not text is no length and no number that is looked for here.
+        let value = std::str::from_utf8(header.value).unwrap_or("\0");
         let (value, is) = (value.trim(), |name: &str| header.name.eq_ignore_ascii_case(name));
-        if is("content-length") && out.body == Body::Close {
-            out.body = Body::Length(digits(value).and_then(|n| n.try_into().ok()).ok_or(Bad::Malformed)?);
-        } else if is("transfer-encoding") && has_token(value, "chunked") {
-            out.body = Body::Chunked;
+        if is("content-length") {
+            let n = digits(value).and_then(|n| usize::try_from(n).ok()).ok_or(Bad::Malformed)?;
+            if length.is_some_and(|l| l != n) {
+                return Err(Bad::Malformed);
+            }
+            length = Some(n);
+        } else if is("transfer-encoding") {
+            chunked = value.eq_ignore_ascii_case("chunked");
+            if !chunked {
+                return Err(Bad::Malformed);
+            }
         } else if is("connection") {
             out.close |= has_token(value, "close");
         } else if is("x-ratelimit-wait-ms") {
             let ms = value.parse().ok().filter(|ms: &f64| ms.is_finite() && *ms > 0.0);
-            out.wait = ms.map(|ms| Micros::from_secs(ms / 1e3));
+            out.wait = ms.map(|ms| Micros::from_secs(ms / 1e3).min(WAIT_MOST));
         } else if is("x-over-slots") {
             out.over_slots = value == "1";
         } else if is("srv-load") {
             out.load = load(value, load_names);
         }
     }
+    out.body = match (status, length, chunked) {
+        (_, Some(_), true) => return Err(Bad::Malformed),
+        (100..=199 | 204 | 304, ..) => Body::Length(0),
+        (_, _, true) => Body::Chunked,
+        (_, Some(n), false) => Body::Length(n),
+        (_, None, false) => Body::Close,
+    };
     out.close |= out.body == Body::Close;
     Ok(Some(out))
 }
 
-/// `TEXT x0=0.4, x1=25` in the order of the names; what is not told is 0.
+/// The first line of an answer is there and says 200, whatever follows.
+pub fn says_200(bytes: &[u8]) -> bool {
+    let line =
+        bytes.split(|b| *b == b'\n').next().filter(|line| line.len() < bytes.len()).unwrap_or_default();
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    matches!(line.strip_prefix(b"HTTP/1.1 200").or(line.strip_prefix(b"HTTP/1.0 200")), Some([] | [b' ', ..]))
+}
+
+impl AnswerHead {
+    /// Where the answer ends that these bytes begin with; `None`: it has not ended yet. `ended`: nothing more comes.
+    pub fn end(&self, bytes: &[u8], ended: bool) -> Result<Option<usize>, Bad> {
+        let body = bytes.get(self.head..).ok_or(Bad::Malformed)?;
+        match self.body {
+            Body::Length(n) if n > BODY_MOST => Err(Bad::Body),
+            Body::Length(n) => Ok((body.len() >= n).then_some(self.head + n)),
+            Body::Close => Ok(ended.then_some(bytes.len())),
+            Body::Chunked => Ok(chunks(body)?.map(|n| self.head + n)),
+        }
+    }
+}
+
+/// Where a chunked body ends. It has no trailer, or none that is understood.
+fn chunks(body: &[u8]) -> Result<Option<usize>, Bad> {
+    let mut at = 0;
+    loop {
+        let size = match httparse::parse_chunk_size(&body[at..]) {
+            Ok(httparse::Status::Complete((line, size))) => {
+                at += line;
+                usize::try_from(size).ok().filter(|n| *n <= BODY_MOST).ok_or(Bad::Body)?
+            }
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(Bad::Malformed),
+        };
+        match body.get(at + size..at + size + 2) {
+            Some(b"\r\n") => at += size + 2,
+            Some(_) => return Err(Bad::Malformed),
+            None => return Ok(None),
+        }
+        if size == 0 {
+            return Ok(Some(at));
+        }
+    }
+}
+
+/// `TEXT x0=0.4, x1=25` in the order of the names; what is not told is 0. Danger: a report with one value that can't
+/// be read is spoilt, and taken for a 0 it would say that there is no limit, or nothing left of it.
 fn load(value: &str, names: &[String]) -> Vec<f32> {
-    let pairs = value.split([' ', ',']).filter_map(|p| p.split_once('='));
-    let told: Vec<(&str, f32)> = pairs.filter_map(|(k, v)| Some((k, v.parse().ok()?))).collect();
-    if told.is_empty() {
+    let told: Vec<(&str, &str)> = value.split([' ', ',']).filter_map(|p| p.split_once('=')).collect();
+    let number = |v: &str| v.parse().ok().filter(|v: &f32| (0.0..1e6).contains(v));
+    let of = |name: &String| told.iter().find(|(k, _)| k == name).map_or(Some(0.0), |(_, v)| number(v));
+    if !told.iter().any(|(k, _)| names.iter().any(|name| name == k)) {
         return Vec::new();
     }
-    let of = |name: &String| told.iter().find(|(k, _)| k == name).map_or(0.0, |(_, v)| *v);
-    names.iter().map(of).collect()
+    names.iter().map(of).collect::<Option<_>>().unwrap_or_default()
 }
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -8,9 +8,10 @@
 pub mod site;
 
 use super::conn::Conns;
-use super::pool::Pool;
+use super::pool::{Pool, BUF_BYTES};
 use super::sessions::{self, Room, Sessions};
 use super::{spawn, Front};
+use crate::config::Bounds;
 use crate::core::Courier;
 use crate::settings::Names;
 use crossbeam_channel::unbounded;
@@ -25,18 +26,27 @@
 /// Share of an endpoint's idle limit for which a connection is kept.
 const KEEP_SHARE: f64 = 0.8;
 
-/// A client sends its request as soon as it is connected, and waits 400 ms for the answer; what takes longer makes
-/// room for a newcomer. A session without an open request may be closed after 2 s.
+/// A client sends its request as soon as it is connected, and waits 400 ms for the answer; one that is slower makes
+/// room for a newcomer. A session without an open request may be closed after 2 s; a silent client is owed a close
+/// within 3 s. A newcomer without a place is closed
+/// with nothing said: a refusal sent across its request would be lost with the connection's reset.
 const ROOM: Room = Room {
     most: 0, // by the configuration
-    silent: Duration::from_millis(250),
+    silent: Duration::from_millis(50),
     idle: Duration::from_secs(2),
-    stuck: Duration::from_millis(500),
-    full: FULL,
+    stuck: Duration::from_millis(150),
+    silent_most: Duration::from_millis(2_200),
+    idle_most: Duration::from_secs(30),
+    full: "",
 };
-/// What a client hears when all sessions are taken by others that have a request open.
-const FULL: &str =
-    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/// Descriptors for all that is no session and no connection to an endpoint: journal, listener, discovery, log.
+const OTHERS: usize = 32;
+/// Memory that a session takes without a buffer, and the share of all memory for sessions and for their buffers.
+const SESSION_BYTES: usize = 24 * 1024;
+const SESSIONS_SHARE: usize = 4;
+const BUFFERS_SHARE: usize = 4;
+/// Buffers that are kept for their next use.
+const POOL_KEEPS: usize = 32;
 
 /// What the threads of this front share.
 pub struct Platform {
@@ -56,18 +66,22 @@
 
 /// Starts the front's threads, all but the listener's.
 pub fn start(
-    courier: &Arc<Courier>, sockets: usize, names: Names, slots: usize, discovery: SocketAddr, version: u64,
+    courier: &Arc<Courier>, bounds: Bounds, names: Names, slots: usize, discovery: SocketAddr, version: u64,
 ) -> io::Result<(Arc<Platform>, Front)> {
     let keep = Duration::from_secs_f64(names.conn_idle.secs() * KEEP_SHARE);
-    let conns = Arc::new(Conns::new(keep, sockets / 8, b""));
+    let idle = bounds.sockets / 8;
+    let conns = Arc::new(Conns::new(keep, idle, b""));
+    // Danger: clients that asked once and stay for their 2 s come by hundreds. All that is not needed is theirs.
+    let free = bounds.sockets.saturating_sub(idle + slots + OTHERS).max(bounds.sockets / 3);
+    let most = free.min(bounds.memory / SESSIONS_SHARE / SESSION_BYTES);
     let (watch, watch_orders) = unbounded();
     let platform = Arc::new(Platform {
         courier: courier.clone(),
         names,
-        pool: Pool::new(64),
+        pool: Pool::new(POOL_KEEPS, bounds.memory / BUFFERS_SHARE / BUF_BYTES),
         conns: conns.clone(),
         site: Site::new(discovery, watch.clone()),
-        sessions: Arc::new(Sessions::new(Room { most: sockets / 2, ..ROOM })),
+        sessions: Arc::new(Sessions::new(Room { most, ..ROOM })),
     });
     let (fetches, fetch_orders) = unbounded();
     for _ in 0..slots {
--- a/src/net/platform/session.rs
+++ b/src/net/platform/session.rs
@@ -6,18 +6,21 @@
 use crate::api::Micros;
 use crate::core::{Answer, Report, Req};
 use crate::net::conn;
-use crate::net::pool::Buf;
+use crate::net::pool::{Buf, BODY_MOST, HEAD_MOST};
 use crate::net::sessions::Place;
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, TcpStream};
+use std::thread;
+use std::time::Duration;
 
-/// How long a session may say nothing at first, how long it may idle, and how long one request may take to come in.
-/// Danger: clients that send nothing, or half a request, hold a place; they are owed a close within 3 s, and whoever
-/// means it has long given up by then.
-const SILENT: Micros = Micros(2_500_000);
-const IDLE: Micros = Micros(30_000_000);
+/// How long one request may take to come in. Danger: clients that send half a request hold a place; they are owed a
+/// close within 3 s, and whoever means it has long given up by then.
 const REQUEST: Micros = Micros(2_500_000);
 const WRITE: Micros = Micros(500_000);
+/// After a request that can't be used the next one of its client waits, twice as long each time. Danger: clients that
+/// send the same again as soon as it is turned away take the processor from all others.
+const FAULT: Micros = Micros(10_000);
+const FAULT_DOUBLES: u32 = 5;
 /// The longest id, key and deadline that are taken.
 const NAME_MOST: usize = 256;
 const DEADLINE_MS_MOST: u64 = 24 * 3600 * 1000;
@@ -28,17 +31,22 @@
     let clock = &platform.courier.clock;
     let within = |span| clock.instant(clock.now() + span);
     let mut early: Option<(Buf, usize)> = None;
-    let mut patience = SILENT;
+    let mut faults = 0;
     loop {
         // An idle session holds no buffer.
-        if early.is_none() && !conn::wait_byte(stream, within(patience))? {
+        if early.is_none() && !conn::wait_byte(stream)? {
             return Ok(());
         }
         place.busy();
-        let (mut buf, mut filled) = early.take().unwrap_or_else(|| (platform.pool.get(), 0));
+        let Some((mut buf, mut filled)) = early.take().or_else(|| Some((platform.pool.get_for_client()?, 0)))
+        else {
+            return write(platform, stream, "503 Service Unavailable", "Retry-After: 1\r\n", "", true)
+                .and_then(|()| finish(platform, stream));
+        };
         let until = within(REQUEST);
         let head = loop {
-            match http::request(&buf[..filled]) {
+            // Danger: a flood of bytes fills memory; what is no head is not read beyond a head's room.
+            let room = match http::request(&buf[..filled]) {
                 Err(bad) => return turn_away(platform, stream, bad),
                 Ok(Some(head)) if filled >= head.head + head.body => break head,
                 Ok(Some(head)) if head.expects => {
@@ -49,21 +57,27 @@
                     }
                     break head;
                 }
-                Ok(_) => {}
-            }
-            filled += some(conn::read(stream, &mut buf[filled..], until)?)?;
+                Ok(Some(head)) => head.head + head.body,
+                Ok(None) => HEAD_MOST,
+            };
+            filled += some(conn::read(stream, &mut buf[filled..room], until)?)?;
         };
         let end = head.head + head.body;
         let close = head.close || platform.sessions.closing();
-        answer(platform, stream, &head, &buf[head.head..end], close)?;
+        let fault = answer(platform, stream, &head, &buf[head.head..end], close)?;
         if close {
             return finish(platform, stream);
         }
-        patience = IDLE;
+        if fault {
+            faults += 1;
+            place.faulty();
+            let pause = FAULT.scale(f64::from(1 << faults.min(FAULT_DOUBLES)));
+            thread::sleep(Duration::from_micros(pause.0));
+        }
         if filled > end {
             buf.copy_within(end..filled, 0);
             early = Some((buf, filled - end));
-        } else {
+        } else if !fault {
             place.idle();
         }
     }
@@ -82,13 +96,17 @@
 }
 
 /// Ends the sending side and reads what still comes for a moment. Danger: a socket closed with bytes unread
-/// resets its connection, and the client may lose the answer that it was just sent.
+/// resets its connection, and the client may lose the answer that it was just sent. But whoever floods it takes the
+/// processor from all others; so it reads no more than a request's length.
 fn finish(platform: &Platform, stream: &TcpStream) -> io::Result<()> {
     stream.shutdown(Shutdown::Write)?;
     let clock = &platform.courier.clock;
     let until = clock.instant(clock.now() + Micros(200_000));
-    let mut sink = [0; 1024];
-    while conn::read(stream, &mut sink, until)? > 0 {}
+    let (mut sink, mut left) = ([0; 8 * 1024], BODY_MOST);
+    while left > 0 {
+        let n = some(conn::read(stream, &mut sink, until)?)?;
+        left = left.saturating_sub(n);
+    }
     Ok(())
 }
 
@@ -101,27 +119,35 @@
     conn::write_all(stream, text.as_bytes(), clock.instant(clock.now() + WRITE))
 }
 
+/// Answers a request; `true`: it can't be used.
 fn answer(
     platform: &Platform, stream: &TcpStream, head: &RequestHead, body: &[u8], close: bool,
-) -> io::Result<()> {
-    let say = |status: &str, headers: &str, body: &str| write(platform, stream, status, headers, body, close);
+) -> io::Result<bool> {
+    let fault = |status: &str, headers: &str, body: &str| {
+        write(platform, stream, status, headers, body, close).map(|()| true)
+    };
+    let say = |status: &str, headers: &str, body: &str| {
+        write(platform, stream, status, headers, body, close).map(|()| false)
+    };
     let path = head.path.split('?').next().unwrap_or_default();
     match (head.method.as_str(), path) {
         ("POST", "/api") => {}
         ("GET", "/health/ready" | "/health/live") => return say("200 OK", "", "ok\n"),
-        (_, "/api") => return say("405 Method Not Allowed", "Allow: POST\r\n", ""),
-        (_, "/health/ready" | "/health/live") => return say("405 Method Not Allowed", "Allow: GET\r\n", ""),
-        _ => return say("404 Not Found", "", "no such path\n"),
+        (_, "/api") => return fault("405 Method Not Allowed", "Allow: POST\r\n", ""),
+        (_, "/health/ready" | "/health/live") => {
+            return fault("405 Method Not Allowed", "Allow: GET\r\n", "")
+        }
+        _ => return fault("404 Not Found", "", "no such path\n"),
     }
     let req = match req(platform, head, body) {
         Ok(req) => req,
-        Err(why) => return say("400 Bad Request", "", &format!("{why}\n")),
+        Err(why) => return fault("400 Bad Request", "", &format!("{why}\n")),
     };
     match platform.courier.report(Report::Req(req)) {
         Answer::Taken(msg) => match say("202 Accepted", "", "") {
-            Ok(()) => {
+            Ok(_) => {
                 platform.courier.report(Report::Answered(msg));
-                Ok(())
+                Ok(false)
             }
             Err(e) => {
                 platform.courier.report(Report::Withdrawn(msg));
@@ -133,7 +159,7 @@
             let headers = format!("Retry-After: {:.3}\r\n", wait.secs());
             say("503 Service Unavailable", &headers, "")
         }
-        Answer::NoSuchDest => say("404 Not Found", "", "X-Addressing: no such destination\n"),
+        Answer::NoSuchDest => fault("404 Not Found", "", "X-Addressing: no such destination\n"),
         Answer::Go(_) | Answer::Noted => say("500 Internal Server Error", "", ""),
     }
 }
--- a/src/net/sessions.rs
+++ b/src/net/sessions.rs
@@ -9,8 +9,8 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// How long a newcomer waits for a place.
-const PLACE: Duration = Duration::from_millis(250);
+/// How long a newcomer waits for a place. Danger: those behind it wait too.
+const PLACE: Duration = Duration::from_millis(50);
 
 /// How many sessions a front has, and which of them may be closed to make room for a newcomer.
 pub struct Room {
@@ -22,14 +22,18 @@
     pub idle: Duration,
     /// One whose request has got no further for so long.
     pub stuck: Duration,
-    /// What a newcomer hears for whom there is none.
+    /// Room or not, one whose client has said nothing yet is closed after so long.
+    pub silent_most: Duration,
+    /// And one without an open request.
+    pub idle_most: Duration,
+    /// What a newcomer hears for whom there is none, if anything.
     pub full: &'static str,
 }
 
 /// What a session is at. The order is that in which sessions make room.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum At {
-    /// Connected, and nothing said yet.
+    /// Connected, and nothing of use said yet.
     Silent,
     /// Between requests.
     Idle,
@@ -65,6 +69,11 @@
         self.of.mark(self.number, At::Busy);
     }
 
+    /// Its client sent what can't be used and was told so: it makes room like one that has said nothing.
+    pub fn faulty(&self) {
+        self.of.mark(self.number, At::Silent);
+    }
+
     /// The session has no open request.
     pub fn idle(&self) {
         self.of.mark(self.number, At::Idle);
@@ -114,7 +123,7 @@
             }
             let left = until.checked_duration_since(now).filter(|left| !left.is_zero())?;
             // Nobody says so when a session becomes old enough.
-            let soon = left.min(Duration::from_millis(20));
+            let soon = left.min(Duration::from_millis(5));
             open = self.left.wait_timeout(open, soon).unwrap_or_else(PoisonError::into_inner).0;
         }
         open.0 += 1;
@@ -124,6 +133,22 @@
         Some(Place { of: self.clone(), number })
     }
 
+    /// Ends the input of those that have said nothing or idled for too long.
+    pub fn sweep(&self) {
+        for entry in self.open().1.values_mut() {
+            let over = match entry.at {
+                At::Silent => entry.since.elapsed() >= self.room.silent_most,
+                At::Idle => entry.since.elapsed() >= self.room.idle_most,
+                At::Busy | At::Leaving => false,
+            };
+            if over {
+                entry.at = At::Leaving;
+                // An error says that it is closed already.
+                let _ = entry.stream.shutdown(Shutdown::Read);
+            }
+        }
+    }
+
     /// How many are open.
     pub fn count(&self) -> usize {
         self.open().1.len()
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -4,7 +4,7 @@
 use indigohold::net::mail::dns::zone::{self, Zone};
 use indigohold::net::mail::lines::{line, reply, stuffed, BadLine, Text};
 use indigohold::net::platform::discovery::Lines;
-use indigohold::net::platform::http::{answer, request, Body};
+use indigohold::net::platform::http::{answer, request, says_200, AnswerHead, Body};
 use quickcheck::{Gen, QuickCheck, TestResult, Testable};
 use std::path::Path;
 
@@ -45,6 +45,50 @@
     }
 }
 
+/// Guards against two readings of one answer: lengths that differ or can't be, a body framed twice.
+#[test]
+fn an_answer_with_two_readings_is_spoilt_and_a_spoilt_load_report_is_none() {
+    let names = ["x0".to_owned(), "x1".to_owned()];
+    let head = |fields: &str| answer(format!("HTTP/1.1 503 No\r\n{fields}\r\n").as_bytes(), &names);
+    for bad in [
+        "Content-Length: 2\r\nContent-Length: 3\r\n",
+        "Content-Length: -1\r\n",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Content-Length: 99999999999999999999999\r\n",
+    ] {
+        assert!(head(bad).is_err(), "{bad}");
+    }
+    for report in
+        ["T x0=nan, x1=3", "T x0=0.4, x1=inf", "T x0=0.4, x1=-2", "T x0=a, x1=9", "T x1=1e30", "noise"]
+    {
+        let read = head(&format!("Srv-Load: {report}\r\n")).unwrap().unwrap();
+        assert_eq!(read.load, Vec::<f32>::new(), "{report}");
+    }
+    assert_eq!(head("Srv-Load: T x0=0.4\r\n").unwrap().unwrap().load, [0.4, 0.0]);
+}
+
+#[test]
+fn an_answer_ends_where_its_body_does_however_it_is_cut() {
+    const HEAD: &str = "HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let text = format!("{HEAD}3;x=y\r\nabc\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n");
+    let head: AnswerHead = answer(text.as_bytes(), &[]).unwrap().unwrap();
+    for cut in head.head..text.len() {
+        assert_eq!(head.end(&text.as_bytes()[..cut], false), Ok(None), "cut at {cut}");
+    }
+    assert_eq!(head.end((text.clone() + "more").as_bytes(), false), Ok(Some(text.len())));
+    for bad in ["zz\r\n", "3\r\nabcd\r\n", "fffffff\r\n", "ffffffffffffffffff\r\n"] {
+        assert!(head.end(format!("{HEAD}{bad}").as_bytes(), false).is_err(), "{bad}");
+    }
+    let by_close = answer(b"HTTP/1.1 503 No\r\n\r\n", &[]).unwrap().unwrap();
+    let whole = b"HTTP/1.1 503 No\r\n\r\nabc";
+    assert_eq!((by_close.end(whole, false), by_close.end(whole, true)), (Ok(None), Ok(Some(whole.len()))));
+    assert!(says_200(b"HTTP/1.1 200 OK\r\n\xff\xfe") && says_200(b"HTTP/1.1 200\n"));
+    for not in [&b"HTTP/1.1 200 OK"[..], b"HTTP/1.1 2000\r\n", b"noise\r\nHTTP/1.1 200 OK\r\n", b""] {
+        assert!(!says_200(not));
+    }
+}
+
 #[test]
 fn a_watch_gives_the_same_lines_however_it_is_cut() {
     const WATCH: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n{\"a\":1\r\n3\r\n}\n\n\r\n5\r\nnext\n\r\n0\r\n\r\n";
@@ -70,6 +114,8 @@
 fn garbage_panics_nowhere() {
     fn all(bytes: Vec<u8>) -> bool {
         let _ = (request(&bytes), answer(&bytes, &["x0".to_owned()]), line(&bytes), reply(&bytes));
+        let head = answer(b"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n", &[]).unwrap().unwrap();
+        let _ = (head.end(&[&[0; 47], &bytes[..]].concat(), false), says_200(&bytes));
         let _ = (Lines::default().push(&bytes), Text::new(100).push(&bytes));
         let _ = smtp_proto::Request::parse(&mut [&bytes[..], b"\r\n"].concat().iter());
         let _ = hickory_proto::op::Message::from_vec(&bytes);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -361,3 +361,67 @@
     until("a place for one more", || asked_once().0 == Some(200));
     assert_eq!(stay[0].1.read(&mut [0]).unwrap(), 0, "the one idle longest made room");
 }
+
+/// Guards against spoilt answers: a refusal that is not whole proves nothing, a first line with 200 is true whatever
+/// follows, an answer without end holds no slot, and what came before or behind the answer belongs to no other call.
+#[test]
+fn spoilt_answers_are_told_from_good_ones() {
+    const LONG_HEAD: &str = "HTTP/1.1 200 OK\r\nX: ";
+    let endpoint = endpoint(|id, nth| {
+        match (id, nth) {
+        ("interim", _) => Act::Answer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        ("noise-200", _) => Act::Answer("HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\x01\x02\r\n\r\n"),
+        ("open-200", _) => Act::Answer(LONG_HEAD),
+        ("huge-200", _) => Act::Answer("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nmore and"),
+        ("twice", _) => Act::Answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        ("noise", 1) => Act::Answer("\x01\x02\r\n\r\n"),
+        ("short-503", 1) => Act::Answer("HTTP/1.1 503 No\r\nContent-Length: 50\r\n\r\nno"),
+        ("short-410", 1) => Act::Answer("HTTP/1.1 410 Gone\r\nContent-Length: 50\r\n\r\nno"),
+        ("short-504", 1) => Act::Answer("HTTP/1.1 504 Over\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nno"),
+        ("for-good", _) => Act::Answer("HTTP/1.1 503 No\r\nContent-Length: 50\r\n\r\nno"),
+        _ => Act::Answer(OK),
+    }
+    });
+    let list = instance("s-1", endpoint.addr, 3, "up");
+    let discovery = discovery(std::slice::from_ref(&list));
+    let folder = Folder::new();
+    // Within its group's window a spoilt one is repeated; over mail and after the window it would not be.
+    let mut program = Program::start(&folder.0, &config(&discovery, &list, 7_000), None);
+    let addr = program.addr("platform");
+    let once = ["interim", "noise-200", "open-200", "huge-200", "twice", "plain"];
+    for id in once {
+        assert_eq!(ask(addr, api(id, "print-order", 7_000, 3, "x").as_bytes()).status(), 202);
+        until(id, || endpoint.count(id) == 1);
+    }
+    for id in ["noise", "short-503", "short-410", "short-504"] {
+        assert_eq!(ask(addr, api(id, "print-order", 7_000, 3, "x").as_bytes()).status(), 202);
+        until("a second call", || endpoint.count(id) == 2);
+    }
+    for id in once {
+        assert_eq!((endpoint.count(id), discovery.noticed(id)), (1, None), "{id} was delivered");
+    }
+    // What may have run is never handed back: its client would hand it in again.
+    assert_eq!(ask(addr, api("for-good", "print-order", 1_500, 3, "x").as_bytes()).status(), 202);
+    until("its end", || discovery.noticed("for-good").is_some());
+    assert_eq!(discovery.noticed("for-good").unwrap()["outcome"], "given_up");
+}
+
+/// Guards against a client that sends the same bad request as soon as it is turned away: each answer comes, but the
+/// next request waits, twice as long each time.
+#[test]
+fn a_client_that_repeats_a_bad_request_waits_between() {
+    let endpoint = endpoint(|_, _| Act::Answer(OK));
+    let list = instance("s-1", endpoint.addr, 3, "up");
+    let discovery = discovery(std::slice::from_ref(&list));
+    let folder = Folder::new();
+    let mut program = Program::start(&folder.0, &config(&discovery, &list, 20_000), None);
+    let mut stream = TcpStream::connect(program.addr("platform")).unwrap();
+    let bad = api("b", "print-order", 20_000, 3, "x").replace("Req-Kind: print-order", "Req-Kind: poster");
+    let begun = Instant::now();
+    stream.write_all(bad.repeat(5).as_bytes()).unwrap();
+    let mut reader = BufReader::new(stream);
+    for _ in 0..5 {
+        assert_eq!(read_http(&mut reader).unwrap().status(), 400);
+    }
+    assert!(begun.elapsed().as_millis() >= 300, "{:?}: 20 + 40 + 80 + 160 ms", begun.elapsed());
+}
