--- a/src/choice.rs
+++ b/src/choice.rs
@@ -499,7 +499,10 @@
         let keep = self.keep.entry(e.kind).or_insert(KEEP_IDLE);
         let paused = idle > Micros(0) && idle < KEEP_IDLE;
         match outcome {
-            Outcome::Reset | Outcome::Timeout if paused => *keep = idle.scale(KEEP_CUT).min(*keep),
+            // Danger: lines break by chance too; after a short pause that says nothing of idle connections.
+            Outcome::Reset | Outcome::Timeout if paused => {
+                *keep = idle.scale(KEEP_CUT).max(KEEP_LEAST).min(*keep);
+            }
             Outcome::ConnectFailed if e.health == Health::Up => {
                 *keep = keep.scale(KEEP_CUT).max(KEEP_LEAST).min(*keep);
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,7 +11,7 @@
 pub use crate::store::{Req, Verdict};
 use crossbeam_channel::Receiver;
 pub use orders::*;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -69,6 +69,9 @@
     max_open: usize,
     backends: BTreeMap<EndpointId, Arc<Backend>>,
     names: HashMap<(u8, String), EndpointId>,
+    next_name: u32,
+    /// Backends that have gone, and when: forgotten once no message remembers them.
+    gone: VecDeque<(Micros, u8, Arc<Backend>)>,
     /// Names on the list of each front that are not gone, with what the module knows of them.
     listed: BTreeMap<(u8, String), Entry>,
     dests: HashSet<u16>,
@@ -96,6 +99,8 @@
             max_open,
             backends: BTreeMap::new(),
             names: HashMap::new(),
+            next_name: 1,
+            gone: VecDeque::new(),
             listed: BTreeMap::new(),
             dests: HashSet::new(),
             fresh: HashSet::new(),
@@ -147,6 +152,11 @@
         self.state().msgs.len()
     }
 
+    /// How many backends are known, those counted that went lately.
+    pub fn backends(&self) -> usize {
+        self.state().backends.len()
+    }
+
     /// Why the journal can't be kept any more, if so: the courier must end.
     pub fn failed(&self) -> Option<String> {
         self.state().failed.clone()
@@ -154,6 +164,9 @@
 }
 
 const TICK_US: u64 = 5_000;
+/// A backend that has gone is known for so long: more than any window in which a message may be repeated.
+const GONE_KEPT: Micros = Micros(60_000_000);
+const GONE_MOST: usize = 512;
 /// A fetch that begins this shortly before the end would be cut off.
 const LAST_BEGIN: Micros = Micros(700_000);
 /// How long a client is told to stay away where the module has said nothing.
@@ -181,8 +194,11 @@
 
     /// The module's name for a backend. Its address may differ from courier to courier and change.
     fn intern(&mut self, front: u8, name: &str) -> EndpointId {
-        let next = EndpointId { addr: (self.names.len() as u32 + 1).to_be_bytes(), port: 0 };
-        *self.names.entry((front, name.to_owned())).or_insert(next)
+        let next = EndpointId { addr: self.next_name.to_be_bytes(), port: 0 };
+        *self.names.entry((front, name.to_owned())).or_insert_with(|| {
+            self.next_name += 1;
+            next
+        })
     }
 
     fn report(&mut self, now: Micros, what: Report) -> Answer {
@@ -322,7 +338,14 @@
             let named: HashSet<&str> = backends.iter().map(|b| b.name.as_str()).collect();
             let of_front = self.listed.iter().filter(|((f, _), _)| *f == front);
             let missing = of_front.filter(|((_, name), _)| !named.contains(name.as_str()));
-            lines.extend(missing.map(|(_, entry)| Entry { state: ModuleListed::Gone, ..entry.clone() }));
+            for (_, entry) in missing {
+                lines.push(Entry { state: ModuleListed::Gone, ..entry.clone() });
+                if let Some(backend) = self.backends.get(&entry.endpoint) {
+                    self.gone.push_back((now, front, backend.clone()));
+                    // The receiver lives in the same struct; it cannot be gone.
+                    let _ = self.out.send(Order::LetGo(backend.clone()));
+                }
+            }
             self.listed.retain(|(f, name), _| *f != front || named.contains(name.as_str()));
         }
         for backend in backends {
@@ -347,10 +370,34 @@
                 self.dests.insert(backend.dest);
                 self.listed.insert(key, entry.clone());
             }
-            self.backends.insert(endpoint, Arc::new(Backend { name: backend.name, addr: backend.addr }));
+            let listed = Arc::new(Backend { name: backend.name, addr: backend.addr });
+            if backend.state == ListState::Gone {
+                self.gone.push_back((now, front, listed.clone()));
+            }
+            // Nothing new goes to a connection of one that drains, is gone or has moved.
+            let before = self.backends.insert(endpoint, listed.clone()).filter(|b| *b != listed);
+            let parts = backend.state != ListState::Up;
+            before.into_iter().chain(parts.then_some(listed)).for_each(|b| self.order(Order::LetGo(b)));
             lines.push(entry);
         }
         self.feed(now, &[Event::ListChange(lines)], None);
+        self.forget_gone(now);
+    }
+
+    /// Danger: where backends come and go all day, their names alone fill memory in the end.
+    fn forget_gone(&mut self, now: Micros) {
+        let over =
+            |s: &State| s.gone.len() > GONE_MOST || s.gone.front().is_some_and(|g| g.0 + GONE_KEPT <= now);
+        while over(self) {
+            let Some((_, front, backend)) = self.gone.pop_front() else { return };
+            let key = (front, backend.name.clone());
+            // It may have come back.
+            if !self.listed.contains_key(&key) {
+                if let Some(endpoint) = self.names.remove(&key) {
+                    self.backends.remove(&endpoint);
+                }
+            }
+        }
     }
 
     /// Gives events to the module and carries out what it decides. A verdict on the req that is being handed in
@@ -372,8 +419,8 @@
                 }
                 Action::Follow | Action::Fetch => self.order(Order::Watch),
                 Action::LetGo(endpoint) => {
-                    if let Some(addr) = self.backends.get(&endpoint).map(|b| b.addr) {
-                        self.order(Order::LetGo(addr));
+                    if let Some(backend) = self.backends.get(&endpoint) {
+                        self.order(Order::LetGo(backend.clone()));
                     }
                 }
                 Action::Log(words) => eprintln!("indigohold: {words}"),
@@ -455,7 +502,7 @@
 }
 
 /// A backend as the fronts reach it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Backend {
     /// Its name in the list, the same at every courier.
     pub name: String,
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -51,7 +51,7 @@
     /// Watch the list of backends.
     Watch,
     /// Close idle connections to this backend.
-    LetGo(SocketAddr),
+    LetGo(Arc<Backend>),
     /// Nothing.
     Nothing,
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -83,7 +83,11 @@
     net::spawn("dispatch", move || net::dispatch(&shared, &fronts)).map_err(fail)?;
     // What is owed has been taken up; only now is anybody answered.
     serve.into_iter().try_for_each(|serve| serve()).map_err(fail)?;
-    eprintln!("indigohold: ready; {} messages are owed", courier.owed());
+    eprintln!(
+        "indigohold: ready; {} messages are owed, {} backends known",
+        courier.owed(),
+        courier.backends()
+    );
     let mut stopping: Option<Instant> = None;
     let mut swept = Instant::now();
     loop {
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -1,6 +1,7 @@
 //! Connections with absolute deadlines, and the fetches' connections: those out, which can be called off, and
 //! those idle, which can be used again.
 
+use crate::core::Backend;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -92,7 +93,9 @@
     farewell: &'static [u8],
     keep: Duration,
     most_idle: usize,
-    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    /// By backend, not by address alone. Danger: a new backend may listen where one that has gone did, and a
+    /// connection to that one leads nowhere or to the wrong one.
+    idle: Mutex<HashMap<Arc<Backend>, Vec<Idle>>>,
     out: Mutex<HashMap<(u64, u8), Out>>,
 }
 
@@ -141,9 +144,9 @@
     /// An idle connection that is still in order, the one used last. Danger: an endpoint closes connections that
     /// have stood idle, and a request written to one of those ends as a reset that may have run; so one with an
     /// end or stray bytes to read is dropped, and so is one that has been idle for long.
-    pub fn reuse(&self, addr: SocketAddr) -> Option<(Arc<TcpStream>, u32)> {
+    pub fn reuse(&self, backend: &Backend) -> Option<(Arc<TcpStream>, u32)> {
         loop {
-            let idle = lock(&self.idle).get_mut(&addr)?.pop()?;
+            let idle = lock(&self.idle).get_mut(backend)?.pop()?;
             if idle.since.elapsed() < self.keep && quiet(&idle.stream) {
                 return Some((idle.stream, idle.tag));
             }
@@ -151,20 +154,21 @@
     }
 
     /// Keeps a connection whose answer was read whole.
-    pub fn keep(&self, addr: SocketAddr, stream: Arc<TcpStream>, tag: u32) {
+    pub fn keep(&self, backend: &Arc<Backend>, stream: Arc<TcpStream>, tag: u32) {
         let mut idle = lock(&self.idle);
-        idle.entry(addr).or_default().push(Idle { stream, tag, since: Instant::now() });
+        idle.entry(backend.clone()).or_default().push(Idle { stream, tag, since: Instant::now() });
         if idle.values().map(Vec::len).sum::<usize>() > self.most_idle {
-            let oldest = idle.iter().filter_map(|(a, l)| l.first().map(|i| (i.since, *a))).min();
-            if let Some(list) = oldest.and_then(|(_, a)| idle.get_mut(&a)) {
+            let oldest = idle.iter().filter_map(|(b, l)| l.first().map(|i| (i.since, b.clone())));
+            let oldest = oldest.min_by_key(|(since, _)| *since);
+            if let Some(list) = oldest.and_then(|(_, b)| idle.get_mut(&b)) {
                 self.part(list.remove(0));
             }
         }
     }
 
     /// Closes idle connections to one backend.
-    pub fn let_go(&self, addr: SocketAddr) {
-        lock(&self.idle).remove(&addr).into_iter().flatten().for_each(|idle| self.part(idle));
+    pub fn let_go(&self, backend: &Backend) {
+        lock(&self.idle).remove(backend).into_iter().flatten().for_each(|idle| self.part(idle));
     }
 
     /// Closes what has been idle for too long.
--- a/src/net/mail/client.rs
+++ b/src/net/mail/client.rs
@@ -58,7 +58,7 @@
             end = End::CalledOff;
         }
         if let (Some((stream, tag)), false) = (spare, called_off) {
-            mail.conns.keep(fetch.backend.addr, stream, tag);
+            mail.conns.keep(&fetch.backend, stream, tag);
         }
         let latency = Micros(started.elapsed().as_micros() as u64);
         mail.courier.report(Report::Done { fetch, end, latency, load: Vec::new(), said });
@@ -144,7 +144,7 @@
     let envelope = Envelope::of(&fetch.req.head);
     // The name of a backend begins with its destination.
     let protocol = MailBackend::protocol(fetch.backend.name.split_once('/').map_or("", |p| p.1));
-    let (stream, known) = match mail.conns.reuse(addr) {
+    let (stream, known) = match mail.conns.reuse(&fetch.backend) {
         Some((stream, tag)) => (stream, Some(tag)),
         None => {
             let up_by = until.min(clock.instant(clock.now() + CONNECT));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -53,7 +53,7 @@
                 }
             }
             Order::Cancel { msg, attempt } => fronts.iter().for_each(|f| f.conns.cancel(msg, attempt)),
-            Order::LetGo(addr) => fronts.iter().for_each(|f| f.conns.let_go(addr)),
+            Order::LetGo(backend) => fronts.iter().for_each(|f| f.conns.let_go(&backend)),
             Order::Watch => {
                 for watch in fronts.iter().filter_map(|f| f.watch.as_ref()) {
                     let _ = watch.send(());
--- a/src/net/platform/fetch.rs
+++ b/src/net/platform/fetch.rs
@@ -40,7 +40,7 @@
         done.end = End::CalledOff;
     }
     if let (Some(spare), false) = (done.spare, called_off) {
-        platform.conns.keep(fetch.backend.addr, spare, 0);
+        platform.conns.keep(&fetch.backend, spare, 0);
     }
     let (end, latency, load, said) = (done.end, done.latency, done.load, String::new());
     platform.courier.report(Report::Done { fetch, end, latency, load, said });
@@ -49,7 +49,7 @@
 fn attempt(platform: &Platform, fetch: &Fetch) -> Done {
     let (clock, addr) = (&platform.courier.clock, fetch.backend.addr);
     let until = clock.instant(fetch.until);
-    let (stream, reused) = match platform.conns.reuse(addr) {
+    let (stream, reused) = match platform.conns.reuse(&fetch.backend) {
         Some((stream, _)) => (stream, true),
         None => {
             let up_by = until.min(clock.instant(clock.now() + platform.names.connect));
--- a/tests/conn.rs
+++ b/tests/conn.rs
@@ -1,9 +1,11 @@
 //! Connections and buffers by themselves.
 
-use indigohold::net::conn;
+use indigohold::core::Backend;
+use indigohold::net::conn::{self, Conns};
 use indigohold::net::pool::Pool;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 fn pair() -> (TcpStream, TcpStream) {
@@ -41,3 +43,22 @@
     drop((first, pool.get()));
     assert!(pool.get_for_client().is_some());
 }
+
+/// Guards against a connection that outlives its backend: a new one at the same address gets a new connection, and
+/// what was let go is closed.
+#[test]
+fn a_connection_belongs_to_its_backend_not_to_its_address() {
+    let (one, mut other) = pair();
+    let addr = other.local_addr().unwrap();
+    let backend = |name: &str| Arc::new(Backend { name: name.into(), addr });
+    let conns = Conns::new(Duration::from_secs(60), 8, b"");
+    conns.keep(&backend("old"), Arc::new(one), 7);
+    assert!(conns.reuse(&backend("new")).is_none());
+    let (stream, tag) = conns.reuse(&backend("old")).unwrap();
+    assert_eq!(tag, 7);
+    conns.keep(&backend("old"), stream, tag);
+    conns.let_go(&backend("new"));
+    conns.let_go(&backend("old"));
+    assert!(conns.reuse(&backend("old")).is_none());
+    assert_eq!(other.read(&mut [0]).unwrap(), 0);
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -200,3 +200,19 @@
     courier.report(Report::Answered(again));
     assert_eq!(fetch(&courier).msg, again, "the first one's notice was its only one");
 }
+
+/// Guards against memory that fills with the names of backends that come and go all day.
+#[test]
+fn backends_that_have_gone_are_forgotten() {
+    let dir = folder("gone");
+    let courier = courier(&dir);
+    for n in 0..5_000 {
+        list(&courier, 0, vec![line(&format!("s-{n}"), 3, ListState::Up)]);
+    }
+    assert!(courier.backends() < 600, "{}", courier.backends());
+    // What is listed still serves.
+    let msg = take(&courier, "m", 3, 0);
+    courier.report(Report::Answered(msg));
+    assert_eq!(fetch(&courier).backend.name, "s-4999");
+    std::fs::remove_dir_all(dir).unwrap();
+}
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -507,3 +507,20 @@
     let sent: usize = (10..15).map(|id| tries(&b.demand(id, 7, 2)).len()).sum();
     assert!(sent < 5, "{sent}: it is cold");
 }
+
+/// Incident: one call lost 25 ms after another halved the trust in idle connections to 12 ms; from then on nearly every
+/// message paid for a new one.
+#[test]
+fn a_call_lost_after_a_short_pause_leaves_idle_connections_their_time() {
+    let mut b = Bench::new(settings(), vec![entry(1, 7)]);
+    let mut let_go = 0;
+    for id in 0..200 {
+        b.now += 25_000;
+        b.demand(id, 7, 2);
+        b.now += 25_000;
+        let lost = id == 100;
+        let actions = b.returns(id, if lost { Outcome::Reset } else { Outcome::Ok });
+        let_go += u32::from(id > 100 && actions.iter().any(|a| matches!(a, Action::LetGo(_))));
+    }
+    assert_eq!(let_go, 0);
+}
