--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,7 +10,7 @@
 use crate::register::kept::{self, KeepRules, Keeper};
 use crate::register::list::Read;
 use crate::register::seek::Seek;
-use crate::store::Journal;
+use crate::store::{owner, Journal};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::sync::Arc;
 use std::thread;
@@ -60,8 +60,13 @@
     let keep = KeepRules { disk: reg.keep.disk.min(disk / KEPT_SHARE), ..reg.keep.clone() };
     let for_copy = if keep.enabled && config.listen.is_some() { keep.disk } else { 0 };
     let for_drains = if control.is_some() { draining::ROOM } else { 0 };
-    let journal = Journal::open(&state, disk.saturating_sub(zones + for_copy + for_drains), clock.now())
-        .map_err(|e| format!("NODE_STATE: {}: {e}", state.display()))?;
+    let in_state = |e: &dyn std::fmt::Display| format!("NODE_STATE: {}: {e}", state.display());
+    // Danger: two processes on one folder both answer for its messages, and each destroys the other's journal.
+    let owner = owner::claim(&state, clock.now(), 0).map_err(|e| in_state(&e))?;
+    let room = disk.saturating_sub(zones + for_copy + for_drains + owner::ROOM);
+    let journal =
+        Journal::open_as(&state, room, clock.now(), owner.claim.incarnation).map_err(|e| in_state(&e))?;
+    tell_damages(&journal);
     let options = Options {
         register: reg.rules.clone(),
         drains: control.is_some().then(|| state.clone()),
@@ -139,7 +144,8 @@
     serve.into_iter().try_for_each(|serve| serve()).map_err(fail)?;
     let phase = courier.phase(platform::FRONT).name();
     let (owed, backends) = (courier.owed(), courier.backends());
-    tracing::info!(target: "daemon", register = phase, "ready; {owed} messages are owed, {backends} backends known");
+    let incarnation = owner.claim.incarnation;
+    tracing::info!(target: "daemon", register = phase, incarnation, "ready; {owed} messages are owed, {backends} backends known");
     let mut stopping: Option<Instant> = None;
     let mut swept = Instant::now();
     loop {
@@ -187,6 +193,21 @@
     }
 }
 
+/// What the journal lost goes to the log in full: what can't be read is what nobody can answer for.
+fn tell_damages(journal: &Journal) {
+    let (damages, doubted) = journal.damages();
+    for damage in damages {
+        let (segment, bytes, at) = (damage.segment, damage.bytes.len(), damage.bytes.start);
+        tracing::error!(target: "journal", segment, at, bytes, "damaged: {}", damage.what);
+    }
+    if !damages.is_empty() {
+        tracing::error!(
+            target: "journal", doubted,
+            "messages that were taken before the damage count as ones that may have run"
+        );
+    }
+}
+
 /// Keeps the list if that is due. Nothing is copied under the core's lock otherwise.
 fn keep_list(courier: &Courier, keeper: &mut Keeper, disk: u64) {
     let now = courier.clock.now();
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -8,10 +8,13 @@
 //! of a message takes the place of all before it, so a stop between the two steps does no harm.
 
 pub mod home;
+pub mod owner;
+pub mod salvage;
 pub mod sealed;
 
 use crate::api::Micros;
 use home::{Folder, Home};
+use salvage::{pieces, Piece, HEAD};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::Path;
@@ -68,9 +71,10 @@
 
 const SEGMENT_PARTS: u64 = 16;
 const BLOCK: u64 = 512;
-/// Length of a record's head, and the longest body that is believed when the journal is read.
-const HEAD: usize = 8;
-const BODY_MOST: usize = 1 << 26;
+/// Damaged bytes that are kept aside, by damage, and damages of which they are.
+const ASIDE_BYTES: usize = 8 * 1024;
+const ASIDE_MOST: usize = 8;
+const ASIDE: &str = "damaged-";
 /// The file of ids that are still recognised, its share of the budget, and how it is written anew.
 const IDS: &str = "ids.log";
 const IDS_SHARE: u64 = 8;
@@ -79,9 +83,22 @@
     number: u64,
     name: String,
     bytes: u64,
+    /// Checksum of all its bytes; the next segment begins with it.
+    sum: crc32fast::Hasher,
     live: BTreeSet<u64>,
 }
 
+/// Something that was not as it had been written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Damage {
+    /// The segment.
+    pub segment: u64,
+    /// Bytes of it that can't be read; none where it is known only that the segment is not what it was.
+    pub bytes: std::ops::Range<usize>,
+    /// What is known of it, in words.
+    pub what: &'static str,
+}
+
 /// The journal of one courier.
 pub struct Journal {
     home: Box<dyn Home>,
@@ -94,17 +111,32 @@
     ids_bytes: u64,
     /// Records that are written together once [`Journal::written`] is called; `None`: each is written at once.
     gathered: Option<Vec<u8>>,
+    incarnation: u64,
+    damages: Vec<Damage>,
+    doubted: usize,
+    aside: u64,
 }
 
 impl Journal {
     /// Opens the folder and reads what is owed, see [`Journal::at`].
     pub fn open(dir: &Path, disk: u64, now: Micros) -> io::Result<Journal> {
-        Journal::at(Box::new(Folder::new(dir)?), disk, now)
+        Journal::open_as(dir, disk, now, 0)
     }
 
-    /// Reads what is owed. A torn or damaged record ends its segment: it was being written when the process died, so what
-    /// it covers had not been promised.
-    pub fn at(mut home: Box<dyn Home>, disk: u64, now: Micros) -> io::Result<Journal> {
+    /// The same for an owner of this number; 0: one more than any that has written here.
+    pub fn open_as(dir: &Path, disk: u64, now: Micros, incarnation: u64) -> io::Result<Journal> {
+        Journal::read(Box::new(Folder::new(dir)?), disk, now, incarnation)
+    }
+
+    /// Reads what is owed. A last record that is not whole was being written when the process died, so what it covers had
+    /// not been promised. Anything else that is not as it was written is a [`Damage`]: what can be read behind it is read,
+    /// the bytes are kept aside, and each message that was taken before it, and may have had a record there, counts as one
+    /// that may have run, nobody knows when or where: it is not sent again unless that does no harm.
+    pub fn at(home: Box<dyn Home>, disk: u64, now: Micros) -> io::Result<Journal> {
+        Journal::read(home, disk, now, 0)
+    }
+
+    fn read(mut home: Box<dyn Home>, disk: u64, now: Micros, incarnation: u64) -> io::Result<Journal> {
         let ids = read_ids(home.read(IDS)?.unwrap_or_default(), now);
         let ids_bytes = write_ids(&mut *home, &ids)?;
         let budget = disk.max(64 * 1024);
@@ -115,31 +147,55 @@
         }
         numbers.sort();
         let next = numbers.last().map_or(1, |(n, _)| n + 1);
-        let mut owed: BTreeMap<u64, Owed> = BTreeMap::new();
+        let mut reading = Reading::default();
         let mut segments: Vec<Segment> = Vec::new();
         for (number, name) in numbers {
             let bytes = home.read(&name)?.unwrap_or_default();
-            let mut at = 0;
-            let mut live = BTreeSet::new();
-            while let Some((body, end)) = record_at(&bytes, at) {
-                apply(body, &mut owed, &mut live);
-                at = end;
-            }
-            segments.push(Segment { number, name, bytes: bytes.len() as u64, live });
+            let live = reading.segment(number, &bytes, segments.last());
+            let mut sum = crc32fast::Hasher::new();
+            sum.update(&bytes);
+            segments.push(Segment { number, name, bytes: bytes.len() as u64, sum, live });
         }
+        let aside = keep_aside(&mut *home, &reading.damages, &segments)?;
+        let Reading { mut owed, taken_at, damages, incarnation: before, .. } = reading;
+        let doubted = doubt(&mut owed, &taken_at, &damages);
         // A message lives in the last segment that holds a take of it.
         let mut seen = BTreeSet::new();
         for segment in segments.iter_mut().rev() {
             segment.live.retain(|m| owed.contains_key(m) && seen.insert(*m));
         }
         let segment_bytes = (budget / SEGMENT_PARTS).max(16 * BLOCK);
-        segments.push(new_segment(&mut *home, next)?);
-        let mut journal =
-            Journal { home, budget, segment_bytes, segments, owed, ids, ids_bytes, gathered: None };
+        let incarnation = incarnation.max(before + 1);
+        segments.push(new_segment(&mut *home, next, incarnation, segments.last())?);
+        let gathered = None;
+        let mut journal = Journal {
+            home,
+            budget,
+            segment_bytes,
+            segments,
+            owed,
+            ids,
+            ids_bytes,
+            gathered,
+            incarnation,
+            damages,
+            doubted,
+            aside,
+        };
         journal.drop_dead()?;
         Ok(journal)
     }
 
+    /// The number of this owner.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// What was not as it had been written, and how many messages are in doubt for it.
+    pub fn damages(&self) -> (&[Damage], usize) {
+        (&self.damages, self.doubted)
+    }
+
     /// What is owed, by message.
     pub fn owed(&self) -> &BTreeMap<u64, Owed> {
         &self.owed
@@ -278,10 +334,12 @@
         let used = self.segments.last().map_or(0, |s| s.bytes);
         if used > 0 && used + records.len() as u64 > self.segment_bytes {
             let next = self.segments.last().map_or(1, |s| s.number + 1);
-            self.segments.push(new_segment(&mut *self.home, next)?);
+            let segment = new_segment(&mut *self.home, next, self.incarnation, self.segments.last())?;
+            self.segments.push(segment);
         }
         if let Some(last) = self.segments.last_mut() {
             self.home.append(&last.name, records)?;
+            last.sum.update(records);
             last.bytes += records.len() as u64;
         }
         Ok(())
@@ -324,7 +382,7 @@
     /// the old file.
     pub fn on_disk(&self) -> u64 {
         let ids = self.ids_bytes.div_ceil(BLOCK) * BLOCK * 2;
-        ids + self.segments.iter().map(|s| s.bytes.div_ceil(BLOCK) * BLOCK).sum::<u64>()
+        ids + self.aside + self.segments.iter().map(|s| s.bytes.div_ceil(BLOCK) * BLOCK).sum::<u64>()
     }
 
     fn drop_dead(&mut self) -> io::Result<()> {
@@ -391,10 +449,129 @@
     Ok(text.len() as u64)
 }
 
-fn new_segment(home: &mut dyn Home, number: u64) -> io::Result<Segment> {
+/// A segment begins with who writes it, and with what the one before it was at that moment.
+fn new_segment(
+    home: &mut dyn Home, number: u64, incarnation: u64, before: Option<&Segment>,
+) -> io::Result<Segment> {
     let name = format!("{number:08}.log");
-    home.append(&name, &[])?;
-    Ok(Segment { number, name, bytes: 0, live: BTreeSet::new() })
+    let mut start = body(START, 0);
+    start.extend(incarnation.to_le_bytes());
+    let (last, bytes, sum) = before.map_or((0, 0, 0), |s| (s.number, s.bytes, s.sum.clone().finalize()));
+    start.extend(last.to_le_bytes());
+    start.extend(bytes.to_le_bytes());
+    start.extend(sum.to_le_bytes());
+    let mut record = Vec::new();
+    put_record(&mut record, &start);
+    home.append(&name, &record)?;
+    let mut sum = crc32fast::Hasher::new();
+    sum.update(&record);
+    Ok(Segment { number, name, bytes: record.len() as u64, sum, live: BTreeSet::new() })
+}
+
+/// What has been read so far.
+#[derive(Default)]
+struct Reading {
+    owed: BTreeMap<u64, Owed>,
+    /// Where the last take of each message is.
+    taken_at: BTreeMap<u64, (u64, usize)>,
+    damages: Vec<Damage>,
+    incarnation: u64,
+}
+
+impl Reading {
+    /// Reads one more; says which messages it holds takes of.
+    fn segment(&mut self, number: u64, bytes: &[u8], before: Option<&Segment>) -> BTreeSet<u64> {
+        // Segments go from the oldest on, so there is never a gap between two.
+        if before.is_some_and(|b| b.number + 1 != number) {
+            self.damages.push(Damage {
+                segment: number,
+                bytes: 0..0,
+                what: "segments before it are missing",
+            });
+        }
+        let mut live = BTreeSet::new();
+        for piece in pieces(bytes) {
+            let record = match piece {
+                Piece::Record(record) => record,
+                Piece::Damage(bytes) => {
+                    let what = "bytes that can't be read";
+                    self.damages.push(Damage { segment: number, bytes, what });
+                    continue;
+                }
+                // Danger: one whose length alone is damaged looks the same as one that was being written. If it is the beginning
+                // of a call, that call counts as one that may have begun.
+                Piece::Torn(part) => {
+                    let mut fields = Fields(bytes.get(part.start + HEAD..).unwrap_or_default());
+                    if let (Some(BEGIN), Some(msg)) = (fields.u8(), fields.u64()) {
+                        let owed = self.owed.get_mut(&msg);
+                        owed.into_iter().for_each(|o| o.risk = Some((Micros(0), String::new())));
+                    }
+                    continue;
+                }
+            };
+            let body = &bytes[record.clone()];
+            let mut fields = Fields(body);
+            match (fields.u8(), fields.u64()) {
+                (Some(START), _) => self.start(fields, before),
+                (Some(TAKE), Some(msg)) => drop(self.taken_at.insert(msg, (number, record.start))),
+                _ => {}
+            }
+            apply(body, &mut self.owed, &mut live);
+        }
+        live
+    }
+
+    fn start(&mut self, mut fields: Fields, before: Option<&Segment>) {
+        let (Some(incarnation), Some(number), Some(bytes), Some(sum)) =
+            (fields.u64(), fields.u64(), fields.u64(), fields.u32())
+        else {
+            return;
+        };
+        self.incarnation = self.incarnation.max(incarnation);
+        let Some(before) = before.filter(|b| b.number == number) else { return };
+        let known = self.damages.iter().any(|d| d.segment == number);
+        if (before.bytes, before.sum.clone().finalize()) != (bytes, sum) && !known {
+            let end = before.bytes as usize;
+            self.damages.push(Damage { segment: number, bytes: end..end, what: "it is not what it was" });
+        }
+    }
+}
+
+/// Messages that were taken before a damage may have had a record there, of a call that began: from now on they may have run.
+fn doubt(
+    owed: &mut BTreeMap<u64, Owed>, taken_at: &BTreeMap<u64, (u64, usize)>, damages: &[Damage],
+) -> usize {
+    let Some(last) = damages.iter().map(|d| (d.segment, d.bytes.start)).max() else { return 0 };
+    let mut doubted = 0;
+    for (msg, owed) in owed.iter_mut().filter(|(_, o)| o.verdict.is_none()) {
+        if taken_at.get(msg).is_none_or(|at| *at < last) {
+            // When and where nobody knows: no window is open any more, and no endpoint is the same.
+            owed.risk = Some((Micros(0), String::new()));
+            doubted += 1;
+        }
+    }
+    doubted
+}
+
+/// Keeps damaged bytes for whoever wants to look at them, once; says how much room they take.
+fn keep_aside(home: &mut dyn Home, damages: &[Damage], segments: &[Segment]) -> io::Result<u64> {
+    let names = home.names()?;
+    let mut there: Vec<String> = names.into_iter().filter(|n| n.starts_with(ASIDE)).collect();
+    for damage in damages.iter().filter(|d| !d.bytes.is_empty()) {
+        let name = format!("{ASIDE}{:08}-{}", damage.segment, damage.bytes.start);
+        let segment = segments.iter().find(|s| s.number == damage.segment);
+        let Some(segment) = segment.filter(|_| there.len() < ASIDE_MOST && !there.contains(&name)) else {
+            continue;
+        };
+        let bytes = home.read(&segment.name)?.unwrap_or_default();
+        let part = &bytes[damage.bytes.clone()];
+        home.replace(&name, &part[..part.len().min(ASIDE_BYTES)])?;
+        there.push(name);
+    }
+    let blocks = |name: &String| -> io::Result<u64> {
+        Ok((home.read(name)?.map_or(0, |b| b.len()) as u64).div_ceil(BLOCK) * BLOCK)
+    };
+    there.iter().map(blocks).sum()
 }
 
 // ---- Records ----
@@ -404,6 +581,8 @@
 const OUTCOME: u8 = 3;
 const VERDICT: u8 = 4;
 const END: u8 = 5;
+/// Older programs pass it by: it is of no message.
+const START: u8 = 6;
 
 fn put_record(out: &mut Vec<u8>, body: &[u8]) {
     out.extend((body.len() as u32).to_le_bytes());
@@ -464,15 +643,6 @@
     out
 }
 
-/// The record at a place and the place after it; `None` at the end and at a torn or damaged one.
-fn record_at(bytes: &[u8], at: usize) -> Option<(&[u8], usize)> {
-    let rest = bytes.get(at..)?;
-    let len = u32::from_le_bytes(rest.get(..4)?.try_into().ok()?) as usize;
-    let sum = u32::from_le_bytes(rest.get(4..HEAD)?.try_into().ok()?);
-    let body = rest.get(HEAD..HEAD.checked_add(len).filter(|_| len <= BODY_MOST)?)?;
-    (crc32fast::hash(body) == sum).then_some((body, at + HEAD + len))
-}
-
 struct Fields<'a>(&'a [u8]);
 
 impl<'a> Fields<'a> {
