--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -12,7 +12,7 @@
 use indigohold_lab::experiment::{keep, one, parallel, Machine, Outcome};
 use indigohold_lab::policies::{Policy, NAMES};
 use indigohold_lab::report;
-use indigohold_lab::scenario::{library, set, Scenario};
+use indigohold_lab::scenario::{library, schema, set, Scenario};
 use serde_json::Value;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -35,6 +35,8 @@
     List,
     /// Print a scenario's file, with settings changed
     Show(What),
+    /// Print the form of scenario files as a JSON Schema
+    Schema,
     /// Read scenario files and name every fault in them
     Check {
         /// The files
@@ -249,6 +251,9 @@
             let (value, _) = what.read()?;
             println!("{}", serde_json::to_string_pretty(&value).map_err(|e| e.to_string())?);
         }
+        Command::Schema => {
+            println!("{}", serde_json::to_string_pretty(&schema::schema()).map_err(|e| e.to_string())?);
+        }
         Command::Check { files } => {
             let mut bad = false;
             for file in &files {
--- a/lab/src/policies/mod.rs
+++ b/lab/src/policies/mod.rs
@@ -110,21 +110,21 @@
         let policy = match name {
             "indigohold" => Policy::Indigohold,
             "immediate" => Policy::Lab(Tactic::Immediate),
-            "fixed" => Policy::Lab(Tactic::Fixed { pause: ms(take("pause_ms", 1_000.0)) }),
+            "fixed" => Policy::Lab(Tactic::Fixed { pause: ms(take("pause_ms", 4_000.0)) }),
             "jitter" => Policy::Lab(Tactic::Jitter {
                 base: ms(take("base_ms", 500.0)),
                 cap: ms(take("cap_ms", 8_000.0)),
             }),
             "budget" => {
-                Policy::Lab(Tactic::Budget { ratio: take("ratio", 0.1), most: take("most", 10.0).max(1.0) })
+                Policy::Lab(Tactic::Budget { ratio: take("ratio", 0.2), most: take("most", 20.0).max(1.0) })
             }
             "breaker" => Policy::Lab(Tactic::Breaker {
-                window: ms(take("window_ms", 2_000.0)),
+                window: ms(take("window_ms", 1_000.0)),
                 share: take("share", 0.5),
-                open: ms(take("open_ms", 2_000.0)),
+                open: ms(take("open_ms", 1_000.0)),
             }),
             "aimd" => {
-                Policy::Lab(Tactic::Aimd { step: take("step", 0.5), cut: take("cut", 0.5).clamp(0.01, 1.0) })
+                Policy::Lab(Tactic::Aimd { step: take("step", 0.5), cut: take("cut", 0.8).clamp(0.01, 1.0) })
             }
             other => return Err(format!("{other}: none of {}", NAMES.join(", "))),
         };
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -2,6 +2,7 @@
 //! whole, and every fault is named by its path. `docs/operators/lab.md` lists all settings with their units.
 
 pub mod library;
+pub mod schema;
 
 use indigohold::checked::{self, Doc, Fault};
 use indigohold::Micros;
@@ -548,6 +549,11 @@
         .unwrap_or_else(|_| unreachable!("it is a text of ours"))
 }
 
+/// All settings of a scenario file, as its reader asks for them.
+pub fn settings() -> Vec<checked::Setting> {
+    checked::describe(scenario)
+}
+
 impl Scenario {
     /// Reads a scenario; all that is wrong with it otherwise.
     pub fn read(text: &[u8]) -> Result<Scenario, Vec<Fault>> {
--- a/src/checked.rs
+++ b/src/checked.rs
@@ -39,12 +39,73 @@
     }
 }
 
+/// What a setting may be.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Kind {
+    /// A number within bounds.
+    Number {
+        /// What holds where it is left out.
+        default: f64,
+        /// The bounds.
+        within: (f64, f64),
+        /// It must be whole.
+        whole: bool,
+    },
+    /// True or false.
+    Flag {
+        /// What holds where it is left out.
+        default: bool,
+    },
+    /// A text that is not empty.
+    Text,
+    /// A list of texts, so many at the most.
+    Texts(usize),
+    /// One of these words; the first where it is left out.
+    Choice(Vec<String>),
+    /// Two numbers within bounds, the lower one first, or one that stands for both.
+    Span {
+        /// What holds where it is left out.
+        default: (f64, f64),
+        /// The bounds.
+        within: (f64, f64),
+    },
+    /// An object.
+    Object,
+    /// A list of objects, so many at the most; the settings of one have the path of the list.
+    Objects(usize),
+}
+
+/// One setting that a file may have.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Setting {
+    /// Where, as in `kept.every_ms`.
+    pub path: String,
+    /// What it may be.
+    pub kind: Kind,
+}
+
 /// One object of a file.
 pub struct Doc<'a> {
     path: String,
     fields: &'a Map<String, Value>,
     asked: RefCell<BTreeSet<String>>,
     faults: &'a RefCell<Vec<Fault>>,
+    /// Where the settings that are asked for are noted, if the form is described and no file read.
+    notes: Option<&'a RefCell<Vec<Setting>>>,
+}
+
+/// All settings that `by` asks for, in its order: the form of the file, always as the reader has it.
+pub fn describe<T>(by: impl FnOnce(&Doc) -> T) -> Vec<Setting> {
+    let (faults, notes, fields) = (RefCell::new(Vec::new()), RefCell::new(Vec::new()), Map::new());
+    let (asked, notes_of) = (RefCell::default(), Some(&notes));
+    by(&Doc { path: String::new(), fields: &fields, asked, faults: &faults, notes: notes_of });
+    let mut out: Vec<Setting> = Vec::new();
+    for setting in notes.into_inner() {
+        if !out.iter().any(|s| s.path == setting.path) {
+            out.push(setting);
+        }
+    }
+    out
 }
 
 /// Reads a file with whatever `by` asks for. What it did not ask for is a fault too.
@@ -53,7 +114,7 @@
     let value: Value = serde_json::from_slice(bytes).map_err(|e| fault(e.to_string()))?;
     let Value::Object(fields) = &value else { return Err(fault("it must be an object".into())) };
     let faults = RefCell::new(Vec::new());
-    let doc = Doc { path: String::new(), fields, asked: RefCell::default(), faults: &faults };
+    let doc = Doc { path: String::new(), fields, asked: RefCell::default(), faults: &faults, notes: None };
     let out = by(&doc);
     doc.strangers();
     let faults = faults.into_inner();
@@ -78,6 +139,12 @@
         self.faults.borrow_mut().push(Fault { path: self.at(name), what: what.into() });
     }
 
+    fn note(&self, name: &str, kind: impl FnOnce() -> Kind) {
+        if let Some(notes) = self.notes {
+            notes.borrow_mut().push(Setting { path: self.at(name), kind: kind() });
+        }
+    }
+
     fn get(&self, name: &str) -> Option<&Value> {
         self.asked.borrow_mut().insert(name.to_owned());
         self.fields.get(name).filter(|v| !v.is_null())
@@ -92,6 +159,7 @@
 
     /// A number within bounds.
     pub fn number(&self, name: &str, default: f64, within: RangeInclusive<f64>) -> f64 {
+        self.note(name, || Kind::Number { default, within: (*within.start(), *within.end()), whole: false });
         let Some(value) = self.get(name) else { return default };
         let Some(number) = value.as_f64() else {
             self.fault(name, format!("{value} is no number"));
@@ -106,6 +174,8 @@
 
     /// A whole number within bounds.
     pub fn whole(&self, name: &str, default: u64, within: RangeInclusive<u64>) -> u64 {
+        let bounds = (*within.start() as f64, *within.end() as f64);
+        self.note(name, || Kind::Number { default: default as f64, within: bounds, whole: true });
         let number = self.number(name, default as f64, *within.start() as f64..=*within.end() as f64);
         if number.fract() != 0.0 {
             self.fault(name, format!("{number} is no whole number"));
@@ -115,6 +185,7 @@
 
     /// True or false.
     pub fn flag(&self, name: &str, default: bool) -> bool {
+        self.note(name, || Kind::Flag { default });
         let Some(value) = self.get(name) else { return default };
         value.as_bool().unwrap_or_else(|| {
             self.fault(name, format!("{value} is neither true nor false"));
@@ -124,6 +195,7 @@
 
     /// A text that is not empty.
     pub fn text(&self, name: &str) -> Option<String> {
+        self.note(name, || Kind::Text);
         let value = self.get(name)?;
         let text = value.as_str().filter(|t| !t.is_empty());
         if text.is_none() {
@@ -134,6 +206,7 @@
 
     /// A list of texts, each read by `by`; whose error says what is wrong with one.
     pub fn texts<T>(&self, name: &str, most: usize, by: impl Fn(&str) -> Result<T, String>) -> Vec<T> {
+        self.note(name, || Kind::Texts(most));
         let Some(value) = self.get(name) else { return Vec::new() };
         let Value::Array(list) = value else {
             self.fault(name, format!("{value} is no list"));
@@ -154,19 +227,32 @@
 
     /// An object within this one; `None` if it is absent.
     pub fn object<T>(&self, name: &str, by: impl FnOnce(&Doc) -> T) -> Option<T> {
+        if self.notes.is_some() {
+            self.note(name, || Kind::Object);
+            return Some(by(&self.within(name, &Map::new())));
+        }
         let value = self.get(name)?;
         let Value::Object(fields) = value else {
             self.fault(name, format!("{value} is no object"));
             return None;
         };
-        let doc = Doc { path: self.at(name), fields, asked: RefCell::default(), faults: self.faults };
+        let doc = self.within(name, fields);
         let out = by(&doc);
         doc.strangers();
         Some(out)
     }
 
+    fn within<'b>(&'b self, name: &str, fields: &'b Map<String, Value>) -> Doc<'b> {
+        let (asked, faults, notes) = (RefCell::default(), self.faults, self.notes);
+        Doc { path: self.at(name), fields, asked, faults, notes }
+    }
+
     /// A list of objects, each read by `by`; empty if it is absent.
     pub fn objects<T>(&self, name: &str, most: usize, by: impl Fn(&Doc) -> T) -> Vec<T> {
+        if self.notes.is_some() {
+            self.note(name, || Kind::Objects(most));
+            return vec![by(&self.within(name, &Map::new()))];
+        }
         let Some(value) = self.get(name) else { return Vec::new() };
         let Value::Array(list) = value else {
             self.fault(name, format!("{value} is no list"));
@@ -181,8 +267,7 @@
                 self.fault(&format!("{name}[{n}]"), format!("{entry} is no object"));
                 continue;
             };
-            let path = self.at(&format!("{name}[{n}]"));
-            let doc = Doc { path, fields, asked: RefCell::default(), faults: self.faults };
+            let doc = self.within(&format!("{name}[{n}]"), fields);
             out.push(by(&doc));
             doc.strangers();
         }
@@ -191,6 +276,7 @@
 
     /// One of a few words, the first of them if it is absent.
     pub fn choice<T: Copy>(&self, name: &str, of: &[(&str, T)]) -> T {
+        self.note(name, || Kind::Choice(of.iter().map(|(word, _)| (*word).to_owned()).collect()));
         let Some(value) = self.get(name) else { return of[0].1 };
         let found = value.as_str().and_then(|text| of.iter().find(|(word, _)| *word == text));
         found.map_or_else(
@@ -205,6 +291,7 @@
 
     /// Two numbers, the lower one first, both within bounds; one number stands for both.
     pub fn span(&self, name: &str, default: (f64, f64), within: RangeInclusive<f64>) -> (f64, f64) {
+        self.note(name, || Kind::Span { default, within: (*within.start(), *within.end()) });
         let Some(value) = self.get(name) else { return default };
         let pair = match value {
             Value::Array(list) if list.len() == 2 => list[0].as_f64().zip(list[1].as_f64()),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -74,16 +74,16 @@
 const NOTE_APART: Micros = Micros(5_000_000); // between notes about one endpoint
 /// Gain of the latency averages; deviations above the mean that few answers exceed.
 const LATENCY_GAIN: f64 = 0.2;
-const UPPER_DEVIATIONS: f64 = 4.0;
+pub(crate) const UPPER_DEVIATIONS: f64 = 4.0;
 /// Time-out: so many usual upper latencies, doubled with each time-out in a row: slow partners must get to
 /// answer, lost calls must not hold slots.
 const TIMEOUT_LATENCIES: f64 = 3.0;
 const TIMEOUT_MIN: Micros = Micros(1_000_000);
-/// And at most so many aims, and this share of a key's window: a repeat must still fit in, and go by the
-/// other share. Danger: one that went in time was worked on when its partner had forgotten the first.
+/// And at most so many aims, and this share of a key's window: a repeat must still fit in, with so many usual
+/// upper latencies. Danger: one that went in time was worked on when its partner had forgotten the first.
 const TIMEOUT_AIMS: f64 = 2.0;
 const TIMEOUT_OF_WINDOW: f64 = 0.75;
-const REPEAT_OF_WINDOW: f64 = 0.9;
+const REPEAT_WORK: f64 = 2.0;
 /// An endpoint with a call out for so many times its upper latency, and nothing heard since, has stalled.
 const STALL_LATENCIES: f64 = 2.0;
 const STALL_MIN: Micros = Micros(1_000_000);
@@ -201,11 +201,6 @@
 // ---- The guards ----
 
 impl Endpoint {
-    /// Latency that few answers exceed, in seconds.
-    fn upper(&self) -> Option<f64> {
-        self.mean.map(|m| m + UPPER_DEVIATIONS * self.deviation)
-    }
-
     fn served_within(&self, now: Micros, span: Micros) -> bool {
         self.last_ok > Micros(0) && self.last_ok + span > now
     }
@@ -454,7 +449,10 @@
         let due = held.message.due - self.set.period.scale(LAST_ROUNDS);
         match (held.risk, held.effect) {
             (None, _) | (_, Effect::Safe) => due,
-            (Some((sent, _)), Effect::Keyed { window, .. }) => due.min(sent + window.scale(REPEAT_OF_WINDOW)),
+            (Some((sent, at)), Effect::Keyed { window, .. }) => {
+                let work = self.endpoints.get(&at).and_then(Endpoint::upper).unwrap_or(0.0) * REPEAT_WORK;
+                due.min(sent + window - Micros::from_secs(work).max(self.set.period))
+            }
             (Some(_), Effect::Unsafe) => Micros(0),
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! Plain state and helpers of the module. No decision, no table and no tuned value: those are in `choice.rs`.
 
 use crate::api::*;
+use crate::choice::UPPER_DEVIATIONS;
 use rand_core::RngCore;
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
@@ -61,6 +62,13 @@
     pub(crate) calls: BTreeMap<u64, Call>,
 }
 
+impl Endpoint {
+    /// Latency that few answers exceed, in seconds.
+    pub(crate) fn upper(&self) -> Option<f64> {
+        self.mean.map(|m| m + UPPER_DEVIATIONS * self.deviation)
+    }
+}
+
 /// What shares a limit, a pace and told waits: a destination, or one endpoint where routes are apart.
 pub(crate) type RouteId = (DestinationId, Option<EndpointId>);
 
