--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -198,7 +198,9 @@
     let taken = taken.lock().unwrap();
     until("deliveries", || site.delivered().len() >= taken.len());
     let counts = site.delivered();
-    assert!(taken.iter().all(|id| counts.get(id) == Some(&1)), "lost or doubled");
+    let odd: Vec<_> =
+        taken.iter().filter(|id| counts.get(*id) != Some(&1)).map(|id| (id, counts.get(id))).collect();
+    assert!(odd.is_empty(), "lost or doubled, of {} sent again: {odd:?}", again);
 }
 
 /// The process may open fewer descriptors than it was told of: those that idle make room, and all are answered.
