The operators' door: readyz, telemetry, exclude, include; figures and a ban that lasts

Checked: the exit is the one line "NODE_CONTROL: ...: no such file" path of daemon::run (control::config::read); with the variable unset the same build starts.

src/admin: the door (a thread and a poller of its own, bounded places, the newest heard), figures (counted where the core lets go of a message, published whole with each release of its state), the hand (a change is written before the yes; the core compares a version at each look before a first byte and at each tick). src/register/hand.rs decides what may be taken out. An endpoint that is put back starts cold (Event::Restarted). NODE_CONTROL is the door's address now; the channel's file is named by NODE_CHANNEL and is deploy/channel.json; the lab's stand follows.

--- a/lab/src/sockets/process.rs
+++ b/lab/src/sockets/process.rs
@@ -147,7 +147,7 @@
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         command.env("NODE_CONFIG", &path).env("NODE_STATE", one.folder.join("state"));
         for (name, file) in
-            [("MAIL", "mail"), ("REGISTER", "register"), ("CONTROL", "control"), ("ADMISSION", "admission")]
+            [("MAIL", "mail"), ("REGISTER", "register"), ("CHANNEL", "channel"), ("ADMISSION", "admission")]
         {
             command.env(format!("NODE_{name}"), one.folder.join(format!("{file}.json")));
         }
--- a/src/api.rs
+++ b/src/api.rs
@@ -378,6 +378,8 @@
     Hangup(MessageId),
     /// The answer of a streamed message has begun.
     UnderWay(MessageId),
+    /// An endpoint was restarted while it was left out by hand: it is used again and has nothing warm.
+    Restarted(EndpointId),
     /// A timer ran out.
     Elapsed(TimerToken),
     /// A note from another sender.
@@ -451,4 +453,8 @@
     fn may_begin(&self, now: Micros, id: EndpointId) -> bool;
     /// Until when a destination has told to wait; 0: it has not.
     fn told_wait(&self, destination: DestinationId) -> Micros;
+    /// Whether the module keeps away from this endpoint now, as it found it to be out. For overviews.
+    fn avoids(&self, _id: EndpointId) -> bool {
+        false
+    }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -349,6 +349,7 @@
             }
             Event::Elapsed(_) => self.alarm_at = self.alarm_at.filter(|at| *at > now),
             Event::PeerNote { bytes, .. } => self.noted(now, bytes),
+            Event::Restarted(id) => self.endpoints.get_mut(id).into_iter().for_each(|e| e.start_cold(now)),
             Event::UnderWay(_) => {}
         }
     }
@@ -376,8 +377,7 @@
             let joins = route.out_until > now && !self.endpoints.contains_key(&entry.endpoint);
             let endpoint = self.endpoints.entry(entry.endpoint).or_default();
             if joins {
-                endpoint.health = Health::Ramp { since: now };
-                endpoint.credit = (now, 0.0);
+                endpoint.start_cold(now);
             }
             (endpoint.route, endpoint.zone, endpoint.kind) = (id, entry.zone, entry.kind);
             endpoint.rank = entry.rank;
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -32,8 +32,8 @@
     if let Err(faults) = admission::read(&paths.admission) {
         out.extend(faults.iter().map(|f| format!("{}: {f}", paths.admission.display())));
     }
-    if let Err(faults) = control::read(&paths.control) {
-        out.extend(faults.iter().map(|f| format!("{}: {f}", paths.control.display())));
+    if let Err(faults) = control::read(&paths.channel) {
+        out.extend(faults.iter().map(|f| format!("{}: {f}", paths.channel.display())));
     }
     match register::read(&paths.register) {
         Ok(config) => {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -52,6 +52,20 @@
         #[command(subcommand)]
         what: Drain,
     },
+    /// Whether the running process takes clients, by the operators' door; exit code 3: it does not
+    Ready,
+    /// The running process's figures, by the operators' door
+    Telemetry,
+    /// Leave an endpoint out until it is included again, by the operators' door
+    Exclude {
+        /// Its id, as discovery lists it
+        id: String,
+    },
+    /// Put an endpoint back, by the operators' door
+    Include {
+        /// Its id
+        id: String,
+    },
     /// The register of backends: what is kept of it, and the operators' static file
     #[command(subcommand)]
     Register(Register),
--- a/src/config.rs
+++ b/src/config.rs
@@ -13,6 +13,7 @@
 struct File {
     listen: Option<String>,
     discovery: Option<String>,
+    control: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -78,11 +79,14 @@
     #[arg(
         long,
         global = true,
-        env = "NODE_CONTROL",
+        env = "NODE_CHANNEL",
         value_name = "FILE",
-        default_value = "deploy/control.json"
+        default_value = "deploy/channel.json"
     )]
-    pub control: PathBuf,
+    pub channel: PathBuf,
+    /// Where the operators' door listens; comes before the configuration
+    #[arg(long, global = true, env = "NODE_CONTROL", value_name = "ADDRESS")]
+    pub control: Option<String>,
 }
 
 /// What the program needs to know.
@@ -90,6 +94,7 @@
     /// Where clients connect; `None`: the platform's front is off.
     pub listen: Option<String>,
     discovery: Option<String>,
+    control: Option<String>,
     /// For random numbers.
     pub seed: u64,
     /// What its process may hold.
@@ -108,6 +113,12 @@
         let text = self.discovery.as_deref().ok_or("discovery: not set")?;
         text.parse().map_err(|e| format!("discovery: {text}: {e}"))
     }
+
+    /// Where the operators' door listens; `None`: it is off.
+    pub fn door(&self) -> Result<Option<SocketAddr>, String> {
+        let parse = |text: &str| text.parse().map_err(|e| format!("control: {text:?}: {e}"));
+        self.control.as_deref().map(parse).transpose()
+    }
 }
 
 impl Paths {
@@ -126,6 +137,7 @@
         Ok(Config {
             listen: self.listen.clone().or(file.listen),
             discovery: file.discovery.or_else(|| self.discovery.clone()),
+            control: self.control.clone().or(file.control),
             seed,
             bounds: Bounds {
                 sockets: file.limits.sockets.unwrap_or(1024).clamp(64, 65_536),
--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -1,4 +1,4 @@
-//! The operators' file for the control channel, `deploy/control.json` unless `NODE_CONTROL` or `--control` names another.
+//! The operators' file for the control channel, `deploy/channel.json` unless `NODE_CHANNEL` or `--channel` names another.
 
 use crate::checked::{self, Fault};
 use std::io::ErrorKind;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,8 @@
 pub mod draining;
 mod orders;
 
+use crate::admin::figures::{Board, Ended, Figures};
+use crate::admin::hand::Hand;
 use crate::api::{Listed as ModuleListed, *};
 use crate::register::kept::Edition;
 use crate::register::phase::Phase;
@@ -62,6 +64,8 @@
     desk: Mutex<Vec<Over>>,
     on_desk: AtomicUsize,
     orders: Receiver<Order>,
+    /// What operators read; it is as it was when the state was last let go of.
+    pub board: Arc<Board>,
     /// Fronts that take nothing on.
     shut: [AtomicBool; draining::FRONTS],
 }
@@ -76,6 +80,8 @@
     /// The class of what the courier hands in itself to tell an end, as bounces are: a drain lets it in and does not end
     /// it, else an end would go untold.
     pub own_class: Option<u16>,
+    /// Endpoints that are left out by hand; `None`: none can be.
+    pub hand: Option<Arc<Hand>>,
 }
 
 /// A fetch that is over.
@@ -149,6 +155,11 @@
     /// Fetches that wait for their turn at a backend that is not fully trusted, with their time-outs.
     in_line: BTreeMap<u64, (Fetch, Micros)>,
     draining: Draining,
+    hand: Option<Arc<Hand>>,
+    /// The version of it that holds here.
+    hand_seen: u64,
+    figures: Figures,
+    members_at: Micros,
     alarm_at: Option<Micros>,
     stop_at: Option<Micros>,
     failed: Option<String>,
@@ -164,6 +175,7 @@
             desk: Mutex::default(),
             on_desk: AtomicUsize::new(0),
             orders,
+            board: Arc::default(),
             shut: draining::none_shut(),
         };
         courier.flag(&courier.state());
@@ -201,6 +213,7 @@
                 drop(desk);
                 state.done(self.clock.now(), over);
             }
+            self.board.publish(state.figures());
             drop(state);
             if self.on_desk.load(Ordering::SeqCst) == 0 {
                 return;
@@ -303,6 +316,10 @@
 /// A backend that has gone is known for so long: more than any window in which a message may be repeated.
 const GONE_KEPT: Micros = Micros(60_000_000);
 const GONE_MOST: usize = 512;
+/// Endpoints are counted again so often, though nothing was told of them: the module may avoid another.
+const MEMBERS_EVERY: Micros = Micros(100_000);
+/// The front whose list says whether the instance calls itself ready.
+const FIRST_FRONT: u8 = 0;
 /// A fetch that begins this shortly before the end would be cut off.
 const LAST_BEGIN: Micros = Micros(700_000);
 /// How long a client is told to stay away where the module has said nothing.
@@ -343,10 +360,15 @@
             register: Register::new(options.register, seed),
             in_line: BTreeMap::new(),
             draining,
+            hand: options.hand,
+            hand_seen: 0,
+            figures: Figures::default(),
+            members_at: Micros(0),
             alarm_at: None,
             stop_at: None,
             failed: None,
         };
+        core.look_at_hand(now);
         core.resume(now);
         core.strike(now, true);
         (core, orders)
@@ -367,6 +389,11 @@
 
     /// Moves time; says when it wants to be called again at the latest.
     pub fn tick(&mut self, now: Micros) -> Micros {
+        self.look_at_hand(now);
+        if self.members_at <= now {
+            self.members_at = now + MEMBERS_EVERY;
+            self.count_members();
+        }
         for (front, news) in self.register.tick(now) {
             self.listed(now, front, news, Vec::new());
         }
@@ -397,6 +424,35 @@
         self.msgs.len()
     }
 
+    /// What became of messages, and how things stand.
+    pub fn figures(&mut self) -> &Figures {
+        self.figures.pending = self.msgs.len() as u64;
+        &self.figures
+    }
+
+    fn count_members(&mut self) {
+        let (mut members, mut unavailable) = (0, 0);
+        for (front, name, out) in self.register.members() {
+            let endpoint = self.names.get(&(front, name.to_owned()));
+            members += 1;
+            unavailable += u64::from(out || endpoint.is_some_and(|at| self.sender.avoids(*at)));
+        }
+        let ready = self.register.get(FIRST_FRONT).is_none_or(|book| book.ready(self.members_at));
+        (self.figures.members, self.figures.unavailable, self.figures.ready) = (members, unavailable, ready);
+    }
+
+    /// Takes over what the operators have left out or put back since the last look.
+    fn look_at_hand(&mut self, now: Micros) {
+        let Some(hand) = self.hand.clone().filter(|hand| hand.version() != self.hand_seen) else { return };
+        // Danger: read before the set, so that a change in between is looked at once more and never missed.
+        self.hand_seen = hand.version();
+        for (front, back, news) in self.register.left_out(now, hand.out()) {
+            let back = back.iter().map(|name| Event::Restarted(self.intern(front, name))).collect();
+            self.listed(now, front, news, back);
+        }
+        self.count_members();
+    }
+
     fn resume(&mut self, now: Micros) {
         let owed = self.journal.owed().clone();
         let mut events = Vec::new();
@@ -452,8 +508,17 @@
             Report::Done { fetch, end, latency, load, said } => {
                 self.done(now, vec![Over { fetch, end, latency, load, said }]);
             }
-            Report::Told(msg) => self.forget(now, msg),
+            Report::Told(msg) => {
+                let ended = match self.journal.owed().get(&msg).and_then(|owed| owed.verdict) {
+                    Some(Verdict::HandedBack(_)) => Ended::Rejected,
+                    _ => Ended::Failed,
+                };
+                self.forget(now, msg, Some(ended));
+            }
             Report::List { front, word } => {
+                if let Some(hand) = &self.hand {
+                    hand.listed(word.lines.iter().map(|line| line.name.as_str()));
+                }
                 // Discovery has answered, if only that nothing has changed: the module hears that too.
                 let answered = (word.source == Source::Watch).then(|| Event::ListChange(Vec::new()));
                 let news = self.register.book(front, now).hear(now, word);
@@ -483,7 +548,16 @@
                 self.decide(now, std::mem::take(&mut batch), &mut answers);
             }
             match self.look_at(now, &req, batch.len()) {
-                Some(answer) => answers.push(answer),
+                Some(answer) => {
+                    match answer {
+                        Answer::Refused(_) | Answer::Draining { .. } => {
+                            self.figures.count(Ended::Rejected, req.class);
+                        }
+                        Answer::NoSuchDest => self.figures.count(Ended::Failed, req.class),
+                        _ => {}
+                    }
+                    answers.push(answer);
+                }
                 None => {
                     let id = self.next_msg;
                     self.next_msg += 1;
@@ -538,7 +612,10 @@
                 0
             }
         };
-        batch[taken..].iter().for_each(|(msg, _)| refuse(*msg, STAY_AWAY));
+        for (msg, req) in &batch[taken..] {
+            self.figures.count(Ended::Rejected, req.class);
+            refuse(*msg, STAY_AWAY);
+        }
         let mut events = Vec::with_capacity(taken);
         let mut asking = Vec::with_capacity(taken);
         for (id, req) in &batch[..taken] {
@@ -558,7 +635,7 @@
                 Some(Verdict::HandedBack(wait)) => wait,
                 Some(Verdict::GivenUp) => STAY_AWAY,
             };
-            self.forget(now, id);
+            self.forget(now, id, Some(Ended::Rejected));
             refuse(id, wait);
         }
     }
@@ -574,12 +651,13 @@
             }
         }
         events.extend(self.leave_line(msg));
-        self.forget(now, msg);
+        self.forget(now, msg, None);
         self.feed(now, &events, &mut []);
     }
 
     /// Just before the first byte of a fetch, which the journal must hear of first.
     fn begin(&mut self, now: Micros, fetch: &Fetch) -> bool {
+        self.look_at_hand(now);
         let alive = self.msgs.get(&fetch.msg).is_some_and(|m| !m.over);
         let ends = self.stop_at.is_some_and(|at| now + LAST_BEGIN >= at);
         let in_time = now < fetch.req.due;
@@ -641,7 +719,8 @@
             written.unwrap_or_else(|e| self.broken(e));
         }
         match end {
-            End::Delivered | End::Over => self.forget(now, fetch.msg),
+            End::Delivered => self.forget(now, fetch.msg, Some(Ended::Completed)),
+            End::Over => self.forget(now, fetch.msg, Some(Ended::Failed)),
             End::Rejected if self.msgs.get(&fetch.msg).is_some_and(|m| !m.over) => {
                 rejected.push(fetch.msg);
             }
@@ -832,9 +911,10 @@
         let _ = self.out.send(order);
     }
 
-    fn forget(&mut self, now: Micros, msg: u64) {
+    fn forget(&mut self, now: Micros, msg: u64, ended: Option<Ended>) {
         self.journal.end(msg, now).unwrap_or_else(|e| self.broken(e));
         if let Some(held) = self.msgs.get(&msg) {
+            ended.into_iter().for_each(|ended| self.figures.count(ended, held.req.class));
             self.draining.ended(now, &held.req);
         }
         self.drop_msg(msg);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The courier as a daemon: reads its configuration, takes up what is owed, and serves its fronts.
 
+use crate::admin::{door, hand, hand::Hand, Desk};
 use crate::admission;
 use crate::config::{Config, Paths};
 use crate::control::{self, shape::Words};
@@ -12,6 +13,7 @@
 use crate::register::seek::Seek;
 use crate::store::{owner, Journal};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -35,6 +37,7 @@
     let config = paths.read()?;
     let state = paths.state()?;
     let discovery = config.discovery();
+    let door_at = config.door()?;
     let known = config.known;
     let (mut settings, names) = config.settings.split()?;
     let mail_config = mail::config::read(&paths.mail, &mut settings, &names)?;
@@ -42,9 +45,9 @@
         let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
         format!("{}: {}", paths.register.display(), faults.join("; "))
     })?;
-    let control = control::config::read(&paths.control).map_err(|faults| {
+    let control = control::config::read(&paths.channel).map_err(|faults| {
         let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        format!("{}: {}", paths.control.display(), faults.join("; "))
+        format!("{}: {}", paths.channel.display(), faults.join("; "))
     })?;
     let admission = admission::config::read(&paths.admission).map_err(|faults| {
         let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
@@ -63,11 +66,15 @@
     let in_state = |e: &dyn std::fmt::Display| format!("NODE_STATE: {}: {e}", state.display());
     // Danger: two processes on one folder both answer for its messages, and each destroys the other's journal.
     let owner = owner::claim(&state, clock.now(), 0).map_err(|e| in_state(&e))?;
-    let room = disk.saturating_sub(zones + for_copy + for_drains + owner::ROOM);
+    let for_hand = if door_at.is_some() { hand::ROOM } else { 0 };
+    let room = disk.saturating_sub(zones + for_copy + for_drains + for_hand + owner::ROOM);
     let journal =
         Journal::open_as(&state, room, clock.now(), owner.claim.incarnation).map_err(|e| in_state(&e))?;
     tell_damages(&journal);
+    // An endpoint that is left out stays so in a life without a door, too.
+    let by_hand = Arc::new(Hand::open(&state));
     let options = Options {
+        hand: Some(by_hand.clone()),
         register: reg.rules.clone(),
         drains: control.is_some().then(|| state.clone()),
         own_class: mail_config.as_ref().map(|m| m.bounce_class),
@@ -77,7 +84,7 @@
         classes.resize(classes.len().max(usize::from(*place) + 1), String::new());
         classes[usize::from(*place)].clone_from(name);
     }
-    let words = Words { classes, tenants: names.tenants.clone() };
+    let words = Words { classes: classes.clone(), tenants: names.tenants.clone() };
     let courier = Arc::new(Courier::new(settings, config.seed, clock, journal, options));
     let fail = |e: std::io::Error| format!("starting: {e}");
     let (mut fronts, mut doors, mut serve) = (Vec::new(), Vec::new(), Vec::<Serve>::new());
@@ -110,8 +117,12 @@
             fixed = Some(file);
         }
         let seek = Seek::new(discovery?, &reg.also, config.seed);
+        let mut bounds = config.bounds;
+        if door_at.is_some() {
+            bounds.sockets -= door::places(bounds.sockets);
+        }
         let (platform, front) =
-            platform::start(&courier, config.bounds, names, slots, seek, reg.poll, &admission.platform)
+            platform::start(&courier, bounds, names, slots, seek, reg.poll, &admission.platform)
                 .map_err(fail)?;
         let listener = net::lobby::bind(&listen, admission.platform.backlog)
             .map_err(|e| format!("listen: {listen}: {e}"))?;
@@ -140,8 +151,16 @@
         let refuse = |e: std::io::Error| format!("control: {}: {e}", control.socket.display());
         control::server::serve(&courier, control, words, doors.clone()).map_err(refuse)?;
     }
+    let serving = Arc::new(AtomicBool::new(false));
+    if let Some(at) = door_at {
+        let desk = Desk { board: courier.board.clone(), hand: by_hand, classes, serving: serving.clone() };
+        let places = door::places(config.bounds.sockets);
+        let at = door::serve(at, desk, courier.clock, places).map_err(|e| format!("control: {at}: {e}"))?;
+        tracing::info!(target: "door", "door on {at}");
+    }
     // What is owed has been taken up; only now is anybody answered.
     serve.into_iter().try_for_each(|serve| serve()).map_err(fail)?;
+    serving.store(true, Ordering::SeqCst);
     let phase = courier.phase(platform::FRONT).name();
     let (owed, backends) = (courier.owed(), courier.backends());
     let incarnation = owner.claim.incarnation;
@@ -183,7 +202,7 @@
             swept = now;
             conns.iter().for_each(|c| c.sweep());
             if let Some(keeper) = &mut keeper {
-                keep_list(&courier, keeper, disk.saturating_sub(zones + for_drains));
+                keep_list(&courier, keeper, disk.saturating_sub(zones + for_drains + for_hand));
             }
             if let Some(word) = fixed.as_mut().and_then(|f: &mut Fixed| f.look(courier.clock.now())) {
                 courier.report(Report::List { front: platform::FRONT, word });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Try { id: MessageId(1), .. })));
 //! ```
 
+pub mod admin;
 pub mod admission;
 mod api;
 pub mod checked;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The program: its command line, and nothing else.
 
 use clap::Parser;
+use indigohold::admin::{client, Call};
 use indigohold::cli::{check, drain, register, Cli, Command};
 use indigohold::{daemon, log};
 use std::process::ExitCode;
@@ -8,6 +9,21 @@
 /// A file has faults, or was not found.
 const FAULTS: u8 = 2;
 
+/// The door said no.
+const NO: u8 = 3;
+
+/// One call at the operators' door.
+fn door(cli: &Cli, call: &Call) -> ExitCode {
+    match client::run(&cli.paths, call) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(NO),
+        Err(e) => {
+            eprintln!("indigohold: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let result = match &cli.command {
@@ -24,11 +40,15 @@
             Ok(())
         }
         Some(Command::Status { socket, json }) => {
-            return ExitCode::from(drain::status(&cli.paths.control, socket, *json))
+            return ExitCode::from(drain::status(&cli.paths.channel, socket, *json))
         }
         Some(Command::Drain { socket, what }) => {
-            return ExitCode::from(drain::run(&cli.paths.control, socket, what))
+            return ExitCode::from(drain::run(&cli.paths.channel, socket, what))
         }
+        Some(Command::Ready) => return door(&cli, &Call::Ready),
+        Some(Command::Telemetry) => return door(&cli, &Call::Telemetry),
+        Some(Command::Exclude { id }) => return door(&cli, &Call::Exclude(id.clone())),
+        Some(Command::Include { id }) => return door(&cli, &Call::Include(id.clone())),
         Some(Command::Register(what)) => match register::run(&cli.paths, what) {
             Ok(text) => {
                 print!("{text}");
--- a/src/net/platform/fetch.rs
+++ b/src/net/platform/fetch.rs
@@ -77,6 +77,7 @@
         // of its endpoint: it may have been closed for its idleness just now.
         return Done::without_answer(if reused { End::Unsent } else { End::NotConnected });
     }
+    platform.courier.board.wrote();
     let heard = hear(platform, &stream, &mut buf, until);
     let latency = Micros((heard.at - sent).as_micros() as u64);
     Done { end: heard.end, latency, load: heard.load, spare: heard.reusable.then_some(stream) }
--- a/src/register/list.rs
+++ b/src/register/list.rs
@@ -61,7 +61,7 @@
 }
 
 /// The longest id that is taken.
-const NAME_MOST: usize = 256;
+const NAME_MOST: usize = super::hand::NAME_MOST;
 
 impl Read {
     /// Reads a list. Entry by entry only where it can't be read as a whole, as that is slow.
--- a/src/register/mod.rs
+++ b/src/register/mod.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod fixed;
 pub mod guard;
+pub mod hand;
 pub mod kept;
 pub mod list;
 pub mod phase;
@@ -21,12 +22,14 @@
 
 use crate::api::Micros;
 use guard::{Doubt, Guard};
+use hand::Out;
 use kept::Edition;
 use phase::{Facts, Phase};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use trust::{CallEnd, Heard, Trust, TrustRules};
 
 /// State of a listed backend.
@@ -264,6 +267,8 @@
     /// Missing from a list that is not believed yet, and until when they stay.
     held: HashMap<String, (ListLine, Micros)>,
     doubt: Option<Doubt>,
+    /// Left out by the operators, whatever a source says.
+    out: Arc<Out>,
     trust: HashMap<String, Trust>,
     shown: HashMap<String, Shown>,
     dests: HashSet<u16>,
@@ -286,6 +291,7 @@
             hold_begun: false,
             held: HashMap::new(),
             doubt: None,
+            out: Arc::default(),
             trust: HashMap::new(),
             shown: HashMap::new(),
             dests: HashSet::new(),
@@ -489,6 +495,21 @@
         self.watching = true;
     }
 
+    /// From now on these are left out by hand, and no others; says who of those that are listed has been put back.
+    pub fn left_out(&mut self, now: Micros, out: &Arc<Out>) -> (Vec<String>, News) {
+        let mut news = News::default();
+        let names = out.differs(&self.out);
+        let back = names.iter().filter(|n| !out.has(n) && self.shown.contains_key(*n)).cloned().collect();
+        self.out = out.clone();
+        self.settle(now, names.into_iter().collect(), &mut news);
+        (back, news)
+    }
+
+    /// Endpoints in the list, and whether each gets nothing by hand or by the register's own choice.
+    pub fn members(&self) -> impl Iterator<Item = (&str, bool)> {
+        self.shown.iter().map(|(name, s)| (name.as_str(), s.benched || self.out.has(name)))
+    }
+
     /// The watch is open and says that nothing has changed.
     pub fn heartbeat(&mut self, now: Micros) -> News {
         let mut news = News::default();
@@ -699,6 +720,9 @@
         if fixed.and_then(|s| s.lines.get(name)).is_some_and(|l| l.state == ListState::Draining) {
             found.state = ListState::Draining;
         }
+        if self.out.has(name) {
+            found.state = ListState::Draining;
+        }
         Some((found, source))
     }
 
@@ -801,6 +825,7 @@
 /// The books of all fronts.
 pub struct Register {
     books: BTreeMap<u8, Book>,
+    out: Arc<Out>,
     rules: Rules,
     seed: u64,
 }
@@ -808,13 +833,16 @@
 impl Register {
     /// An empty register. `seed` is for the jitter of its pauses.
     pub fn new(rules: Rules, seed: u64) -> Register {
-        Register { books: BTreeMap::new(), rules, seed }
+        Register { books: BTreeMap::new(), out: Arc::default(), rules, seed }
     }
 
     /// The book of a front, begun if there is none.
     pub fn book(&mut self, front: u8, now: Micros) -> &mut Book {
         let (rules, seed) = (&self.rules, self.seed ^ u64::from(front));
-        self.books.entry(front).or_insert_with(|| Book::new(rules.clone(), seed, now))
+        let out = &self.out;
+        self.books
+            .entry(front)
+            .or_insert_with(|| Book { out: out.clone(), ..Book::new(rules.clone(), seed, now) })
     }
 
     /// The book of a front, if it has one.
@@ -822,6 +850,18 @@
         self.books.get(&front)
     }
 
+    /// From now on these are left out by hand, in all books; says by front who was put back.
+    pub fn left_out(&mut self, now: Micros, out: Arc<Out>) -> Vec<(u8, Vec<String>, News)> {
+        self.out = out.clone();
+        let told = self.books.iter_mut().map(|(front, book)| (*front, book.left_out(now, &out)));
+        told.map(|(front, (back, news))| (front, back, news)).collect()
+    }
+
+    /// Endpoints in the lists of all fronts, as [`Book::members`].
+    pub fn members(&self) -> impl Iterator<Item = (u8, &str, bool)> {
+        self.books.iter().flat_map(|(front, book)| book.members().map(|(name, out)| (*front, name, out)))
+    }
+
     /// Moves time in all books.
     pub fn tick(&mut self, now: Micros) -> Vec<(u8, News)> {
         let due = self.books.iter_mut().filter(|(_, b)| b.next_at().is_some_and(|at| at <= now));
--- a/src/state.rs
+++ b/src/state.rs
@@ -63,6 +63,12 @@
 }
 
 impl Endpoint {
+    /// It starts with nothing warm.
+    pub(crate) fn start_cold(&mut self, now: Micros) {
+        self.health = Health::Ramp { since: now };
+        self.credit = (now, 0.0);
+    }
+
     /// Whether it has delivered in the last `span`.
     pub(crate) fn served_within(&self, now: Micros, span: Micros) -> bool {
         self.last_ok > Micros(0) && self.last_ok + span > now
@@ -428,4 +434,9 @@
     fn told_wait(&self, destination: DestinationId) -> Micros {
         Sender::told_wait(self, destination)
     }
+
+    fn avoids(&self, id: EndpointId) -> bool {
+        let out = |e: &Endpoint| matches!(e.health, Health::Out { .. } | Health::HalfOpen);
+        self.endpoints.get(&id).is_some_and(out)
+    }
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -17,13 +17,13 @@
     }
     let (config, state) = (folder.join("config.json"), folder.join("state"));
     let (mail, register) = (folder.join("mail.json"), folder.join("register.json"));
-    let control = folder.join("control.json");
+    let control = folder.join("channel.json");
     for (flag, path) in [
         ("--config", &config),
         ("--state", &state),
         ("--mail", &mail),
         ("--register", &register),
-        ("--control", &control),
+        ("--channel", &control),
     ] {
         command.arg(flag).arg(path);
     }
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -83,7 +83,7 @@
 #[test]
 fn those_that_ask_once_and_stay_are_all_answered() {
     let site = site(SOCKETS, 64);
-    site.folder.write("control.json", r#"{"socket": "run/control.sock"}"#);
+    site.folder.write("channel.json", r#"{"socket": "run/control.sock"}"#);
     let (program, addr) = site.start();
     let mut steady = Steady::new(addr);
     let mut stay = Vec::new();
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -35,7 +35,7 @@
         .collect();
     let discovery = discovery(&entries);
     let folder = Folder::new();
-    folder.write("control.json", r#"{"socket": "run/control.sock"}"#);
+    folder.write("channel.json", r#"{"socket": "run/control.sock"}"#);
     let config = serde_json::json!({
         "listen": "127.0.0.1:0", "discovery": discovery.addr.to_string(), "seed": "0c",
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
@@ -64,7 +64,7 @@
     fn command(&self, args: &[&str]) -> (Option<i32>, String) {
         let out = Command::new(env!("CARGO_BIN_EXE_indigohold"))
             .args(args)
-            .env("NODE_CONTROL", self.folder.0.join("control.json"))
+            .env("NODE_CHANNEL", self.folder.0.join("channel.json"))
             .output()
             .unwrap();
         let text = [out.stdout, out.stderr].concat();
@@ -408,7 +408,7 @@
     site.client().status().unwrap();
     // A second instance with the same socket does not take it from the first.
     let other = Folder::new();
-    other.write("control.json", &format!(r#"{{"socket": "{}"}}"#, site.socket().display()));
+    other.write("channel.json", &format!(r#"{{"socket": "{}"}}"#, site.socket().display()));
     let mut second = Program::spawn(&other.0, &site.config.to_string(), None);
     assert!(second.line("indigohold: control: ").contains("another instance listens there"));
     assert_eq!(second.child.wait().unwrap().code(), Some(1));
@@ -418,7 +418,7 @@
     site.client().status().unwrap();
     // What is no socket is left alone.
     other.write("file", "mine");
-    other.write("control.json", r#"{"socket": "file"}"#);
+    other.write("channel.json", r#"{"socket": "file"}"#);
     let mut third = Program::spawn(&other.0, &site.config.to_string(), None);
     assert!(third.line("indigohold: control: ").contains("no socket"));
     assert_eq!(std::fs::read_to_string(other.0.join("file")).unwrap(), "mine");
--- a/tests/measure_drain.rs
+++ b/tests/measure_drain.rs
@@ -40,7 +40,7 @@
         .collect();
     let discovery = discovery(&entries);
     let folder = Folder::new();
-    folder.write("control.json", r#"{"socket": "control.sock"}"#);
+    folder.write("channel.json", r#"{"socket": "control.sock"}"#);
     let mut settings = settings(20_000);
     settings["limits"]["maxOpen"] = max_open.into();
     settings["familyInfo"]["slots"] = 16.into();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -175,10 +175,12 @@
         .env("NODE_STATE", folder.join("state"))
         .env("NODE_MAIL", "/nonexistent/mail.json")
         .env("NODE_REGISTER", folder.join("register.json"))
-        .env("NODE_CONTROL", folder.join("control.json"))
+        .env("NODE_CHANNEL", folder.join("channel.json"))
         .env_remove("NODE_DISCOVERY")
         .env_remove("NODE_LISTEN")
         .env_remove("NODE_ADMISSION")
+        .env_remove("NODE_CONTROL")
+        .env_remove("NODE_LISTEN_FD")
         .stderr(Stdio::piped());
 }
 
