A new version takes over under load: ownership, sessions and calls are handed over

src/upgrade: two machines without I/O (phase.rs), frames with descriptors over a Unix stream (frame.rs, rustix), the inherited listener by pidfd_getfd on the own process (inherit.rs).

--- a/src/admin/door.rs
+++ b/src/admin/door.rs
@@ -51,9 +51,15 @@
     places: usize,
 }
 
-/// Opens the door and serves it for as long as the process lives; says where it is.
-pub fn serve(addr: SocketAddr, desk: Desk, clock: Clock, places: usize) -> io::Result<SocketAddr> {
-    let listener = crate::net::lobby::bind(&addr.to_string(), 256)?;
+/// Takes the door's address.
+pub fn bind(addr: SocketAddr) -> io::Result<std::net::TcpListener> {
+    crate::net::lobby::bind(&addr.to_string(), 256)
+}
+
+/// Serves the door for as long as the process lives; says where it is.
+pub fn serve(
+    listener: std::net::TcpListener, desk: Desk, clock: Clock, places: usize,
+) -> io::Result<SocketAddr> {
     listener.set_nonblocking(true)?;
     let addr = listener.local_addr()?;
     let mut listener = TcpListener::from_std(listener);
--- a/src/admin/hand.rs
+++ b/src/admin/hand.rs
@@ -4,7 +4,7 @@
 use crate::register::hand::{Known, No, Out, OUT_BYTES};
 use crate::store::sealed::Sealed;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 const FILE: Sealed = Sealed { name: "excluded", magic: "indigohold-excluded", version: 1 };
@@ -19,6 +19,8 @@
     calls: Mutex<()>,
     out: Mutex<Arc<Out>>,
     version: AtomicU64,
+    /// Another process changes them now.
+    closed: AtomicBool,
     known: Mutex<Known>,
 }
 
@@ -64,6 +66,12 @@
         lock(&self.out).clone()
     }
 
+    /// Another process changes them from now on; a change that is being written is done.
+    pub fn close(&self) {
+        let _one_at_a_time = lock(&self.calls);
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
     /// Leaves one out.
     pub fn exclude(&self, name: &str) -> Result<String, String> {
         self.change(|out, known| out.exclude(known, name), "is left out", "was left out before")
@@ -78,6 +86,9 @@
         &self, by: impl FnOnce(&Out, &Known) -> Result<Option<Out>, No>, done: &str, before: &str,
     ) -> Result<String, String> {
         let _one_at_a_time = lock(&self.calls);
+        if self.closed.load(Ordering::SeqCst) {
+            return Err("another process has taken over; ask there".into());
+        }
         let next = by(&self.out(), &lock(&self.known)).map_err(|no| no.to_string())?;
         let Some(next) = next else { return Ok(before.to_owned()) };
         let names: Vec<&str> = next.names().collect();
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,10 +1,12 @@
 //! The interface: what a sender is told and what it may do. Types only; every decision is in `choice.rs`.
 
+use crate::carry::Carried;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::ops::{Add, Sub};
 
 /// A moment or a length of time, in whole microseconds. Sums and differences saturate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Micros(pub u64);
 
 impl Micros {
@@ -39,7 +41,7 @@
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
         pub struct $name(pub $inner);
     )*};
 }
@@ -66,7 +68,7 @@
 }
 
 /// One endpoint of a destination.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId {
     /// Address, first byte first.
     pub addr: [u8; 4],
@@ -378,6 +380,15 @@
     Hangup(MessageId),
     /// The answer of a streamed message has begun.
     UnderWay(MessageId),
+    /// A message that was resumed has a call out, made by the process before; its outcome will come.
+    StillOut {
+        /// The message.
+        id: MessageId,
+        /// Where the call is.
+        endpoint: EndpointId,
+        /// When it was sent.
+        sent: Micros,
+    },
     /// An endpoint was restarted while it was left out by hand: it is used again and has nothing warm.
     Restarted(EndpointId),
     /// A timer ran out.
@@ -457,4 +468,10 @@
     fn avoids(&self, _id: EndpointId) -> bool {
         false
     }
+    /// What another process of the same courier goes on with, beside the messages and the list.
+    fn carry(&self) -> Carried {
+        Carried::default()
+    }
+    /// Goes on with it; before anything else has happened.
+    fn go_on_with(&mut self, _carried: Carried) {}
 }
--- /dev/null
+++ b/src/carry.rs
@@ -0,0 +1,190 @@
+//! What a sender passes on to the process that goes on in its place, beside the messages and the list: what it has learnt
+//! of destinations and endpoints, told waits, paces and budgets. It decides nothing; endpoints keep their ids.
+
+use crate::api::{DestinationId, EndpointId, KindId, MessageId, Micros};
+use crate::state::{Call, Destination, Endpoint, Health, Out, Reserve, Route, RouteId, Sender};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// The state of a module, in a form that only a module of the same version understands.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Carried(Value);
+
+#[derive(Serialize, Deserialize)]
+struct Learnt<D, R, E, S> {
+    destinations: D,
+    routes: R,
+    endpoints: E,
+    reserve: S,
+    shares: Vec<Micros>,
+    hope: f64,
+    keep: Vec<(KindId, Micros)>,
+}
+
+type Pairs<K, V> = Vec<(K, V)>;
+type Read =
+    Learnt<Pairs<DestinationId, Destination>, Pairs<RouteId, Route>, Pairs<EndpointId, Endpoint>, Reserve>;
+
+impl Sender {
+    pub(crate) fn carry(&self) -> Carried {
+        let learnt = Learnt {
+            destinations: self.destinations.iter().collect::<Vec<_>>(),
+            routes: self.routes.iter().collect::<Vec<_>>(),
+            endpoints: self.endpoints.iter().collect::<Vec<_>>(),
+            reserve: &self.reserve,
+            shares: self.shares.clone(),
+            hope: self.hope,
+            keep: self.keep.iter().map(|(k, v)| (*k, *v)).collect(),
+        };
+        // What can't be put into words is learnt anew.
+        Carried(serde_json::to_value(learnt).unwrap_or_default())
+    }
+
+    pub(crate) fn go_on_with(&mut self, carried: Carried) {
+        let Ok(learnt) = serde_json::from_value::<Read>(carried.0) else { return };
+        self.destinations = learnt.destinations.into_iter().collect();
+        self.routes = learnt.routes.into_iter().collect();
+        self.reserve = learnt.reserve;
+        if learnt.shares.len() == self.shares.len() {
+            self.shares = learnt.shares;
+        }
+        self.hope = learnt.hope;
+        self.keep = learnt.keep.into_iter().collect();
+        for (id, mut endpoint) in learnt.endpoints {
+            // Its trial is out, and if it is not any more nobody would ever end the wait for it.
+            if endpoint.health == Health::HalfOpen {
+                endpoint.health = Health::Out { trial_at: endpoint.tried_at, probed: false };
+            }
+            self.routes.entry(endpoint.route).or_default().endpoints.insert(id);
+            self.endpoints.insert(id, endpoint);
+        }
+    }
+
+    /// A call of the process before holds a slot, and its endpoint, until its outcome comes.
+    pub(crate) fn still_out(&mut self, id: MessageId, at: EndpointId, sent: Micros) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        self.waiting.forget(held);
+        let call = self.next_call;
+        self.next_call += 1;
+        self.busy += 1;
+        let endpoint = self.endpoints.entry(at).or_default();
+        if let Health::Out { .. } = endpoint.health {
+            endpoint.health = Health::HalfOpen;
+        }
+        endpoint.calls.insert(call, Call { sent, left: 1, heard: false });
+        self.routes.entry(endpoint.route).or_default().out += 1;
+        held.out = Some(Out { endpoint: at, call, sent, attempt: held.tries.saturating_sub(1) as u8 });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::*;
+
+    fn settings() -> Settings {
+        let text = include_str!("../examples/config.json");
+        let mut config: Value = serde_json::from_str(text).unwrap();
+        crate::settings::settings(config["settings"].take().to_string().as_bytes()).unwrap()
+    }
+
+    const AT: EndpointId = EndpointId { addr: [0, 0, 0, 1], port: 0 };
+
+    fn listed() -> Event {
+        Event::ListChange(vec![Entry {
+            endpoint: AT,
+            destination: DestinationId(3),
+            kind: KindId(1),
+            zone: ZoneId(0),
+            state: Listed::Ready,
+            weight: 50.0,
+            rank: 0,
+        }])
+    }
+
+    fn message(id: u64) -> Message {
+        Message {
+            id: MessageId(id),
+            destination: DestinationId(3),
+            class: ClassId(0),
+            tenant: TenantId(0),
+            key: None,
+            due: Micros(30_000_000),
+        }
+    }
+
+    fn tries(actions: &[Action]) -> usize {
+        actions.iter().filter(|a| matches!(a, Action::Try { .. })).count()
+    }
+
+    /// Danger: a wait that ends with the process that heard it is broken by the next one.
+    #[test]
+    fn a_told_wait_and_a_call_that_is_out_go_along() {
+        let now = Micros(10_000_000);
+        let mut old = Sender::new(settings(), 1);
+        let mut actions = Vec::new();
+        old.handle(now - Micros(500_000), &[listed(), Event::Demand(message(1))], &mut actions);
+        old.handle(now, &[Event::Demand(message(2))], &mut actions);
+        assert_eq!(tries(&actions), 2);
+        let outcome = Outcome::Full(Some(Micros(2_000_000)));
+        let (attempt, latency, report) = (0, Micros(1000), Vec::new());
+        old.handle(
+            now + Micros(1000),
+            &[Event::Returned {
+                id: MessageId(1),
+                endpoint: AT,
+                outcome,
+                terminal: false,
+                latency,
+                attempt,
+                report,
+            }],
+            &mut actions,
+        );
+        let carried: Carried = serde_json::from_str(&serde_json::to_string(&old.carry()).unwrap()).unwrap();
+        let mut new = Sender::new(settings(), 2);
+        new.go_on_with(carried);
+        assert_eq!(new.told_wait(DestinationId(3)), now + Micros(2_001_000));
+        actions.clear();
+        let events = [
+            Event::Resumed { message: message(1), tries: 1, risk: None },
+            Event::Resumed { message: message(2), tries: 1, risk: None },
+            Event::StillOut { id: MessageId(2), endpoint: AT, sent: now },
+            listed(),
+        ];
+        new.handle(now + Micros(2000), &events, &mut actions);
+        assert_eq!(tries(&actions), 0, "one waits, one is out: {actions:?}");
+        assert_eq!(new.free(), old.free(), "the call holds its slot");
+        let (outcome, report) = (Outcome::Ok, Vec::new());
+        new.handle(
+            now + Micros(100_000),
+            &[Event::Returned {
+                id: MessageId(2),
+                endpoint: AT,
+                outcome,
+                terminal: true,
+                latency,
+                attempt,
+                report,
+            }],
+            &mut actions,
+        );
+        assert!(!new.held.contains_key(&MessageId(2)));
+        assert_eq!(new.free(), old.free() + 1);
+        for ms in 2..40 {
+            new.handle(now + Micros(ms * 100_000), &[Event::Elapsed(TimerToken(0))], &mut actions);
+            if ms < 20 {
+                assert_eq!(tries(&actions), 0, "the wait is on at {ms}");
+            }
+        }
+        assert_eq!(tries(&actions), 1);
+    }
+
+    #[test]
+    fn what_is_not_understood_is_learnt_anew() {
+        let mut new = Sender::new(settings(), 2);
+        new.go_on_with(Carried(serde_json::json!({"destinations": 3})));
+        new.go_on_with(Carried::default());
+        assert!(new.routes.is_empty() && new.endpoints.is_empty());
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -349,6 +349,7 @@
             }
             Event::Elapsed(_) => self.alarm_at = self.alarm_at.filter(|at| *at > now),
             Event::PeerNote { bytes, .. } => self.noted(now, bytes),
+            Event::StillOut { id, endpoint, sent } => self.still_out(*id, *endpoint, *sent),
             Event::Restarted(id) => self.endpoints.get_mut(id).into_iter().for_each(|e| e.start_cold(now)),
             Event::UnderWay(_) => {}
         }
@@ -380,8 +381,7 @@
                 endpoint.start_cold(now);
             }
             (endpoint.route, endpoint.zone, endpoint.kind) = (id, entry.zone, entry.kind);
-            endpoint.rank = entry.rank;
-            endpoint.listed = entry.state;
+            (endpoint.rank, endpoint.listed) = (entry.rank, entry.state);
         }
         let routes = &mut self.routes;
         self.endpoints.retain(|id, e| {
--- a/src/config.rs
+++ b/src/config.rs
@@ -84,6 +84,9 @@
         default_value = "deploy/channel.json"
     )]
     pub channel: PathBuf,
+    /// A listening socket that was inherited, by its descriptor's number
+    #[arg(long, global = true, env = "NODE_LISTEN_FD", value_name = "NUMBER")]
+    pub listen_fd: Option<String>,
     /// Where the operators' door listens; comes before the configuration
     #[arg(long, global = true, env = "NODE_CONTROL", value_name = "ADDRESS")]
     pub control: Option<String>,
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -35,8 +35,8 @@
 
 /// Takes the socket's path: one that nobody listens on any more is replaced, one that is in use or is no socket is left
 /// alone and is an error. The socket is put in place by a rename, with its permissions set: nobody but its owner can
-/// ever connect.
-pub fn bind(path: &Path) -> io::Result<UnixListener> {
+/// ever connect. `take_over`: whoever listens there has handed over.
+pub fn bind(path: &Path, take_over: bool) -> io::Result<UnixListener> {
     match fs::symlink_metadata(path) {
         Err(e) if e.kind() == ErrorKind::NotFound => {}
         Err(e) => return Err(e),
@@ -47,7 +47,7 @@
             ));
         }
         Ok(_) => {
-            if UnixStream::connect(path).is_ok() {
+            if !take_over && UnixStream::connect(path).is_ok() {
                 return Err(io::Error::new(ErrorKind::AddrInUse, "another instance listens there"));
             }
         }
@@ -67,9 +67,9 @@
 
 /// Starts the listener.
 pub fn serve(
-    courier: &Arc<Courier>, config: &ControlConfig, words: Words, doors: Vec<Door>,
+    courier: &Arc<Courier>, config: &ControlConfig, words: Words, doors: Vec<Door>, take_over: bool,
 ) -> io::Result<()> {
-    let listener = bind(&config.socket)?;
+    let listener = bind(&config.socket, take_over)?;
     tracing::info!(target: "control", "control on {}", config.socket.display());
     let control = Arc::new(Control {
         courier: courier.clone(),
--- a/src/core/draining.rs
+++ b/src/core/draining.rs
@@ -151,6 +151,9 @@
 impl Core {
     /// Strikes what is due. In a life that begins it also goes on with what an earlier one had begun.
     pub(super) fn strike(&mut self, now: Micros, resuming: bool) {
+        if !self.decides() {
+            return;
+        }
         let mut due = self.draining.drains.strike(now);
         if resuming {
             due =
@@ -237,7 +240,7 @@
         // What is due has struck, whoever looks first.
         state.strike(now, false);
         let held = state.msgs.values().filter(|m| wish.scope.covers(&marks(&m.req))).count() as u64;
-        let ending = state.stop_at.is_some();
+        let ending = state.stop_at.is_some() || !state.decides();
         let started = state.draining.change(|drains| drains.start(now, wish, ending, held))?;
         self.flag(&state);
         let drain = state.draining.drains.get(started.id).cloned().ok_or(Refusal::Unknown)?;
@@ -263,6 +266,9 @@
     ) -> Result<Progress, Refusal> {
         let now = self.clock.now();
         let mut state = self.state();
+        if !state.decides() {
+            return Err(Refusal::Ending);
+        }
         state.strike(now, false);
         let drain = state.draining.drains.get(id).cloned().ok_or(Refusal::Unknown)?;
         let left = state.progress(now, drain).left.total;
--- /dev/null
+++ b/src/core/handover.rs
@@ -0,0 +1,242 @@
+//! The core's part in a hand-over to another process of the same courier: it freezes, so that its journal is settled at one
+//! point, and then either goes on as if nothing had been, or has left and only tells how its last calls end. On the other
+//! side a core goes on with what was passed. Who may do what when is [`crate::upgrade::phase`]'s to say.
+
+use super::{Answer, Edition, End, Msg, Notice, Report, STAY_AWAY};
+use super::{Backend, Core, Courier, Fetch, Order, Over};
+use crate::api::{EndpointId, Event, MessageId, Micros};
+use crate::carry::Carried;
+use crossbeam_channel::Sender;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+/// What another process needs beside the journal.
+#[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Passed {
+    /// The module's names for backends, by front.
+    names: Vec<(u8, String, EndpointId)>,
+    next_name: u32,
+    module: Carried,
+    /// What discovery has told.
+    pub lists: Vec<(u8, Edition)>,
+    /// Messages that their clients are just being told of.
+    pub answering: BTreeSet<u64>,
+}
+
+/// How a call ended that was out when its process left.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CallOver {
+    /// The message.
+    pub msg: u64,
+    /// How it ended.
+    pub end: End,
+    /// From its first byte on.
+    pub latency: Micros,
+    /// What the backend told of its load.
+    pub load: Vec<f32>,
+    /// Its last word.
+    pub said: String,
+}
+
+/// What happened while the core was frozen.
+pub(super) enum Later {
+    Report(Report),
+    Over(Vec<Over>),
+}
+
+/// Whether the core decides.
+pub(super) enum Mode {
+    /// It does.
+    Decides,
+    /// Not now: this waits.
+    Frozen(Vec<Later>),
+    /// Never again: another process does, and hears of the calls that are still out.
+    Left(Sender<CallOver>),
+}
+
+impl Core {
+    pub(super) fn decides(&self) -> bool {
+        matches!(self.mode, Mode::Decides)
+    }
+
+    /// Nothing begins and nothing is decided from here on.
+    fn freeze(&mut self) -> Passed {
+        self.mode = Mode::Frozen(Vec::new());
+        let names = self.names.iter().map(|((front, name), at)| (*front, name.clone(), *at)).collect();
+        Passed {
+            names,
+            next_name: self.next_name,
+            module: self.sender.carry(),
+            lists: self.register.editions(),
+            answering: BTreeSet::new(),
+        }
+    }
+
+    /// As if nothing had been; what waited is taken in.
+    fn thaw(&mut self, now: Micros) {
+        let Mode::Frozen(waited) = std::mem::replace(&mut self.mode, Mode::Decides) else { return };
+        for later in waited {
+            match later {
+                Later::Report(what) => drop(self.report(now, what)),
+                Later::Over(all) => self.done(now, all),
+            }
+        }
+    }
+
+    /// Another process owns the journal from here on.
+    fn leave(&mut self, to: Sender<CallOver>) {
+        let Mode::Frozen(waited) = std::mem::replace(&mut self.mode, Mode::Left(to)) else { return };
+        for later in waited {
+            if let Later::Over(all) = later {
+                self.tell_over(all);
+            }
+        }
+    }
+
+    /// What happens to a core that does not decide.
+    pub(super) fn set_aside(&mut self, what: Report) -> Answer {
+        match what {
+            Report::Begin(_) => return Answer::Go(false),
+            Report::Req(_) => return Answer::Refused(STAY_AWAY),
+            Report::Done { fetch, end, latency, load, said } => {
+                self.over_aside(vec![Over { fetch, end, latency, load, said }]);
+            }
+            what => {
+                if let Mode::Frozen(waited) = &mut self.mode {
+                    waited.push(Later::Report(what));
+                }
+            }
+        }
+        Answer::Noted
+    }
+
+    pub(super) fn over_aside(&mut self, all: Vec<Over>) {
+        match &mut self.mode {
+            Mode::Frozen(waited) => waited.push(Later::Over(all)),
+            _ => self.tell_over(all),
+        }
+    }
+
+    /// A call that had begun is told; of one that had not the other process has never heard.
+    fn tell_over(&mut self, all: Vec<Over>) {
+        let Mode::Left(to) = &self.mode else { return };
+        for Over { fetch, end, latency, load, said } in all {
+            let begun = self.journal.owed().get(&fetch.msg).is_some_and(|owed| owed.open.is_some());
+            if begun && self.msgs.get_mut(&fetch.msg).is_some_and(|m| std::mem::take(&mut m.out)) {
+                // An error says that the other process is gone; the journal says what may have run.
+                let _ = to.send(CallOver { msg: fetch.msg, end, latency, load, said });
+            }
+        }
+    }
+
+    /// Goes on with what another process passed.
+    pub(super) fn go_on_with(&mut self, passed: &mut Passed) {
+        self.next_name = self.next_name.max(passed.next_name);
+        for (front, name, at) in passed.names.drain(..) {
+            self.names.insert((front, name), at);
+        }
+        self.sender.go_on_with(std::mem::take(&mut passed.module));
+    }
+
+    /// Takes up what the journal says is owed. With `passed`, calls without an outcome are still out in another process.
+    pub(super) fn resume(&mut self, now: Micros, passed: Option<&Passed>) {
+        let owed = self.journal.owed().clone();
+        let mut events = Vec::new();
+        for (id, owed) in owed {
+            let req = owed.req;
+            self.by_id.insert(req.id.clone(), id);
+            let over = owed.verdict.is_some();
+            let answering = passed.is_some_and(|p| p.answering.contains(&id));
+            let msg = Msg {
+                req: req.clone(),
+                tries: owed.tries as u8,
+                parked: answering.then(Vec::new),
+                over,
+                shared: false,
+                out: false,
+            };
+            let held = self.msgs.entry(id).or_insert(msg);
+            if let Some(verdict) = owed.verdict {
+                let notice = Order::Notice(Notice { msg: id, req, verdict, said: owed.said });
+                match &mut held.parked {
+                    Some(parked) => parked.push(notice),
+                    None => drop(self.out.send(notice)),
+                }
+                continue;
+            }
+            match owed.open.filter(|_| passed.is_some()) {
+                Some((sent, name)) => {
+                    held.out = true;
+                    let risk = owed.risk.map(|(at, name)| (at, self.intern(req.front, &name)));
+                    let at = self.intern(req.front, &name);
+                    events.push(Event::Resumed {
+                        message: super::message(id, &req),
+                        tries: owed.tries,
+                        risk,
+                    });
+                    events.push(Event::StillOut { id: MessageId(id), endpoint: at, sent });
+                    let attempt = owed.tries.saturating_sub(1) as u8;
+                    // Only its name matters: the connection is the other process's.
+                    let backend =
+                        Arc::new(Backend { name, addr: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)) });
+                    let until = req.due;
+                    self.away.insert(id, Fetch { msg: id, attempt, at, backend, req, until });
+                }
+                None => {
+                    // A fetch without an outcome may have run.
+                    let open = self.journal.owed().get(&id).and_then(|o| o.open.clone());
+                    let risk = owed.risk.or(open).map(|(at, name)| (at, self.intern(req.front, &name)));
+                    events.push(Event::Resumed {
+                        message: super::message(id, &req),
+                        tries: owed.tries,
+                        risk,
+                    });
+                }
+            }
+        }
+        self.feed(now, &events, &mut []);
+    }
+}
+
+impl Courier {
+    /// Nothing begins and nothing is decided until [`Courier::thaw`] or [`Courier::leave`]; what another process needs.
+    pub fn freeze(&self) -> Passed {
+        self.state().freeze()
+    }
+
+    /// Takes service up again.
+    pub fn thaw(&self) {
+        let now = self.clock.now();
+        self.state().thaw(now);
+    }
+
+    /// Another process decides from here on; the ends of calls that are out go to `to`.
+    pub fn leave(&self, to: Sender<CallOver>) {
+        self.state().leave(to);
+    }
+
+    /// Whether another process decides.
+    pub fn left(&self) -> bool {
+        matches!(self.state().mode, Mode::Left(_))
+    }
+
+    /// A call that another process carried out is over.
+    pub fn call_over(&self, over: CallOver) {
+        let CallOver { msg, end, latency, load, said } = over;
+        let Some(fetch) = self.state().away.remove(&msg) else { return };
+        self.report(Report::Done { fetch, end, latency, load, said });
+    }
+
+    /// The other process is gone: what it had out may have run, and nobody will say so.
+    pub fn calls_lost(&self) -> usize {
+        let lost: Vec<Fetch> = std::mem::take(&mut self.state().away).into_values().collect();
+        let count = lost.len();
+        for fetch in lost {
+            let (latency, load, said) = (Micros(0), Vec::new(), String::new());
+            self.report(Report::Done { fetch, end: End::CalledOff, latency, load, said });
+        }
+        count
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! [`Courier::tick`] moves time. The fronts see reqs, fetches and verdicts, never the module's events or actions.
 
 pub mod draining;
+pub mod handover;
 mod orders;
 
 use crate::admin::figures::{Board, Ended, Figures};
@@ -18,6 +19,7 @@
 use crate::Sender;
 use crossbeam_channel::Receiver;
 use draining::Draining;
+use handover::{Mode, Passed};
 pub use orders::*;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -82,6 +84,8 @@
     pub own_class: Option<u16>,
     /// Endpoints that are left out by hand; `None`: none can be.
     pub hand: Option<Arc<Hand>>,
+    /// What the process passed that served until now.
+    pub passed: Option<Passed>,
 }
 
 /// A fetch that is over.
@@ -155,6 +159,9 @@
     /// Fetches that wait for their turn at a backend that is not fully trusted, with their time-outs.
     in_line: BTreeMap<u64, (Fetch, Micros)>,
     draining: Draining,
+    mode: Mode,
+    /// Calls that the process before carries out to their end.
+    away: BTreeMap<u64, Fetch>,
     hand: Option<Arc<Hand>>,
     /// The version of it that holds here.
     hand_seen: u64,
@@ -360,6 +367,8 @@
             register: Register::new(options.register, seed),
             in_line: BTreeMap::new(),
             draining,
+            mode: Mode::Decides,
+            away: BTreeMap::new(),
             hand: options.hand,
             hand_seen: 0,
             figures: Figures::default(),
@@ -369,7 +378,9 @@
             failed: None,
         };
         core.look_at_hand(now);
-        core.resume(now);
+        let mut passed = options.passed;
+        passed.iter_mut().for_each(|passed| core.go_on_with(passed));
+        core.resume(now, passed.as_ref());
         core.strike(now, true);
         (core, orders)
     }
@@ -389,6 +400,9 @@
 
     /// Moves time; says when it wants to be called again at the latest.
     pub fn tick(&mut self, now: Micros) -> Micros {
+        if !self.decides() {
+            return now + Micros(TICK_US);
+        }
         self.look_at_hand(now);
         if self.members_at <= now {
             self.members_at = now + MEMBERS_EVERY;
@@ -453,35 +467,6 @@
         self.count_members();
     }
 
-    fn resume(&mut self, now: Micros) {
-        let owed = self.journal.owed().clone();
-        let mut events = Vec::new();
-        for (id, owed) in owed {
-            let req = owed.req;
-            self.by_id.insert(req.id.clone(), id);
-            let over = owed.verdict.is_some();
-            self.msgs.insert(
-                id,
-                Msg {
-                    req: req.clone(),
-                    tries: owed.tries as u8,
-                    parked: None,
-                    over,
-                    shared: false,
-                    out: false,
-                },
-            );
-            if let Some(verdict) = owed.verdict {
-                let _ = self.out.send(Order::Notice(Notice { msg: id, req, verdict, said: owed.said }));
-                continue;
-            }
-            // A fetch without an outcome may have run.
-            let risk = owed.risk.or(owed.open).map(|(at, name)| (at, self.intern(req.front, &name)));
-            events.push(Event::Resumed { message: message(id, &req), tries: owed.tries, risk });
-        }
-        self.feed(now, &events, &mut []);
-    }
-
     /// The module's name for a backend. Its address may differ from courier to courier and change.
     fn intern(&mut self, front: u8, name: &str) -> EndpointId {
         let next = EndpointId { addr: self.next_name.to_be_bytes(), port: 0 };
@@ -493,6 +478,9 @@
 
     /// Takes in what happened.
     pub fn report(&mut self, now: Micros, what: Report) -> Answer {
+        if !self.decides() {
+            return self.set_aside(what);
+        }
         match what {
             Report::Req(req) => return self.take(now, vec![req]).pop().unwrap_or(Answer::Refused(STAY_AWAY)),
             // Danger: a client that goes before its answer takes the message of another with it, who handed in the same
@@ -540,6 +528,9 @@
 
     /// Taken or refused at once, each in its turn. The journal has all that are taken before any answer says so.
     fn take(&mut self, now: Micros, reqs: Vec<Req>) -> Vec<Answer> {
+        if !self.decides() {
+            return reqs.iter().map(|_| Answer::Refused(STAY_AWAY)).collect();
+        }
         let mut answers = Vec::with_capacity(reqs.len());
         let mut batch: Vec<(u64, Arc<Req>)> = Vec::new();
         for req in reqs {
@@ -677,6 +668,9 @@
 
     /// Fetches are over: written down together, and one round of the module on all of them, in their order.
     fn done(&mut self, now: Micros, all: Vec<Over>) {
+        if !self.decides() {
+            return self.over_aside(all);
+        }
         let (mut events, mut rejected) = (Vec::with_capacity(all.len()), Vec::new());
         self.journal.gather();
         all.into_iter().for_each(|over| self.one_done(now, over, &mut events, &mut rejected));
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -4,6 +4,7 @@
 use crate::api::{EndpointId, Micros};
 use crate::register::trust::CallEnd;
 pub use crate::register::{ListLine, ListState, Source, Word};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// One fetch of one req.
@@ -60,7 +61,7 @@
 }
 
 /// How a fetch ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
     /// Delivered.
     Delivered,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,15 +12,18 @@
 use crate::register::list::Read;
 use crate::register::seek::Seek;
 use crate::store::{owner, Journal};
+use crate::upgrade::{self, inherit};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// After SIGTERM: when sessions are closed, and when the process ends. SIGKILL follows after 3.7 s.
 const CLOSE: Duration = Duration::from_millis(3_100);
 const EXIT: Duration = Duration::from_millis(3_400);
+/// After another process has taken over, this one answers at its door for so long.
+const LINGER: Duration = Duration::from_millis(8_000);
 /// The kept list takes no more than this share of the folder that lasts.
 const KEPT_SHARE: u64 = 8;
 
@@ -58,6 +61,13 @@
     }
     let slots = settings.limits.slots.map_or(64, |s| s as usize).clamp(1, 256) + 2;
     let clock = Clock::start();
+    // Before anything is touched: an address that is taken or a descriptor that is none ends this process alone.
+    let inherited = inherit::listener(paths.listen_fd.as_deref(), config.listen.as_deref())?;
+    let door_listener = match door_at {
+        Some(at) => Some(door::bind(at).map_err(|e| format!("control: {at}: {e}"))?),
+        None => None,
+    };
+    let upgradable = door_at.is_some() || inherited.is_some();
     let zones = mail_config.as_ref().map_or(0, |m| mail::dns::server::room(m.zones.len()));
     let disk = (config.disk_mb * 1e6) as u64;
     let keep = KeepRules { disk: reg.keep.disk.min(disk / KEPT_SHARE), ..reg.keep.clone() };
@@ -65,7 +75,13 @@
     let for_drains = if control.is_some() { draining::ROOM } else { 0 };
     let in_state = |e: &dyn std::fmt::Display| format!("NODE_STATE: {}: {e}", state.display());
     // Danger: two processes on one folder both answer for its messages, and each destroys the other's journal.
-    let owner = owner::claim(&state, clock.now(), 0).map_err(|e| in_state(&e))?;
+    let (owner, taken) = upgrade::claim(&state, &clock, upgradable).map_err(|e| in_state(&e))?;
+    let taken_over = taken.is_some();
+    let (mut passed, mut taken_listener, mut sessions, mut ends) = (None, None, Vec::new(), None);
+    if let Some(taken) = taken {
+        (passed, taken_listener) = (Some(taken.passed), taken.listener);
+        (sessions, ends) = (taken.sessions, Some(taken.ends));
+    }
     let for_hand = if door_at.is_some() { hand::ROOM } else { 0 };
     let room = disk.saturating_sub(zones + for_copy + for_drains + for_hand + owner::ROOM);
     let journal =
@@ -73,8 +89,10 @@
     tell_damages(&journal);
     // An endpoint that is left out stays so in a life without a door, too.
     let by_hand = Arc::new(Hand::open(&state));
+    let lists = passed.as_mut().map_or(Vec::new(), |passed| std::mem::take(&mut passed.lists));
     let options = Options {
         hand: Some(by_hand.clone()),
+        passed,
         register: reg.rules.clone(),
         drains: control.is_some().then(|| state.clone()),
         own_class: mail_config.as_ref().map(|m| m.bounce_class),
@@ -111,6 +129,10 @@
             }
             keeper = Some(Keeper::new(&state, keep, places.clone()));
         }
+        for (front, list) in lists {
+            let word = Word::whole(Source::Watch, list.generation, list.lines, now);
+            courier.report(Report::List { front, word });
+        }
         if let Some(file) = reg.fixed {
             let mut file = Fixed::new(file, places);
             file.look(now).into_iter().for_each(tell);
@@ -124,13 +146,17 @@
         let (platform, front) =
             platform::start(&courier, bounds, names, slots, seek, reg.poll, &admission.platform)
                 .map_err(fail)?;
-        let listener = net::lobby::bind(&listen, admission.platform.backlog)
-            .map_err(|e| format!("listen: {listen}: {e}"))?;
+        let listener = match inherited.or(taken_listener.take()) {
+            Some(listener) => listener,
+            None => net::lobby::bind(&listen, admission.platform.backlog)
+                .map_err(|e| format!("listen: {listen}: {e}"))?,
+        };
+        let sessions = std::mem::take(&mut sessions);
         fronts.push(front);
         doors.push(platform.door.clone());
         let shared = platform.clone();
         reloads.push(Box::new(move |config| config.discovery().map(|addr| shared.site.move_to(addr))));
-        serve.push(Box::new(move || platform::serve(&platform, listener)));
+        serve.push(Box::new(move || platform::serve(&platform, listener, sessions)));
     }
     if let Some(mail_config) = mail_config {
         let listeners = mail::bind(&mail_config, admission.mail.backlog)?;
@@ -149,23 +175,41 @@
     net::spawn("dispatch", move || net::dispatch(&shared, &fronts)).map_err(fail)?;
     if let Some(control) = &control {
         let refuse = |e: std::io::Error| format!("control: {}: {e}", control.socket.display());
-        control::server::serve(&courier, control, words, doors.clone()).map_err(refuse)?;
+        control::server::serve(&courier, control, words, doors.clone(), taken_over).map_err(refuse)?;
     }
     let serving = Arc::new(AtomicBool::new(false));
-    if let Some(at) = door_at {
-        let desk = Desk { board: courier.board.clone(), hand: by_hand, classes, serving: serving.clone() };
+    if let Some(listener) = door_listener {
+        let (board, hand) = (courier.board.clone(), by_hand.clone());
+        let desk = Desk { board, hand, classes, serving: serving.clone() };
         let places = door::places(config.bounds.sockets);
-        let at = door::serve(at, desk, courier.clock, places).map_err(|e| format!("control: {at}: {e}"))?;
+        let at = door::serve(listener, desk, courier.clock, places).map_err(|e| format!("control: {e}"))?;
         tracing::info!(target: "door", "door on {at}");
     }
+    if let Some(ends) = ends {
+        upgrade::follow(&courier, ends).map_err(fail)?;
+    }
     // What is owed has been taken up; only now is anybody answered.
     serve.into_iter().try_for_each(|serve| serve()).map_err(fail)?;
     serving.store(true, Ordering::SeqCst);
     let phase = courier.phase(platform::FRONT).name();
     let (owed, backends) = (courier.owed(), courier.backends());
     let incarnation = owner.claim.incarnation;
+    let owner = Arc::new(Mutex::new(Some(owner)));
+    if let (true, Some(door)) = (upgradable, doors.first()) {
+        let this = upgrade::Serving {
+            courier: courier.clone(),
+            door: door.clone(),
+            serving: serving.clone(),
+            owner: owner.clone(),
+            hand: by_hand,
+            refuses: (doors.len() > 1)
+                .then_some("the mail front is on, and its sessions can't be handed over"),
+        };
+        upgrade::serve(&state, this);
+    }
     tracing::info!(target: "daemon", register = phase, incarnation, "ready; {owed} messages are owed, {backends} backends known");
     let mut stopping: Option<Instant> = None;
+    let mut left_at: Option<Instant> = None;
     let mut swept = Instant::now();
     loop {
         let next = courier.tick();
@@ -192,7 +236,8 @@
             // Danger: a fetch cut off here may have run, and costs its message an answer or a repeat.
             let open: usize = doors.iter().map(|d| d.count()).sum();
             let out: usize = conns.iter().map(|c| c.out()).sum();
-            if since >= EXIT || since >= CLOSE && open + out == 0 {
+            let idle = open + out == 0;
+            if since >= EXIT || (since >= CLOSE || left_at.is_some()) && idle {
                 let owed = courier.owed();
                 tracing::info!(target: "daemon", "ends; {owed} messages stay owed, {out} of them out");
                 return Ok(());
@@ -200,6 +245,17 @@
         }
         if now - swept > Duration::from_millis(250) {
             swept = now;
+            if left_at.is_none() && courier.left() {
+                left_at = Some(now);
+            }
+            if let Some(at) = left_at {
+                let out: usize = conns.iter().map(|c| c.out()).sum();
+                if now - at >= LINGER && out == 0 {
+                    tracing::info!(target: "daemon", "ends; another process has taken over");
+                    return Ok(());
+                }
+                continue;
+            }
             conns.iter().for_each(|c| c.sweep());
             if let Some(keeper) = &mut keeper {
                 keep_list(&courier, keeper, disk.saturating_sub(zones + for_drains + for_hand));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod admin;
 pub mod admission;
 mod api;
+mod carry;
 pub mod checked;
 mod choice;
 pub mod cli;
@@ -86,6 +87,8 @@
 pub mod settings;
 mod state;
 pub mod store;
+pub mod upgrade;
 
 pub use api::*;
+pub use carry::Carried;
 pub use state::Sender;
--- a/src/net/lobby.rs
+++ b/src/net/lobby.rs
@@ -19,6 +19,7 @@
 use std::fs::File;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, ToSocketAddrs};
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -105,8 +106,33 @@
     fn farewell(&self, why: Bye) -> &'static str;
     /// What a newcomer hears for whom there is no place; none: it waits for one.
     fn full(&self) -> Option<&'static str>;
+    /// What is remembered of a client, for another process that goes on with it.
+    fn pack(&self, _talk: &Self::Talk) -> Vec<u8> {
+        Vec::new()
+    }
+    /// The same by such words; what they don't say is as of a newcomer.
+    fn unpack(&self, from: SocketAddr, _words: &[u8]) -> Self::Talk {
+        self.open(from, &mut Vec::new())
+    }
+}
+
+/// A seat in words: with its descriptor, all that another process needs to go on with it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeatWords {
+    talk: Vec<u8>,
+    held: Vec<u8>,
+    out: Vec<u8>,
+    /// Messages whose answers are being written.
+    pub receipts: Vec<u64>,
+    asked: u32,
+    ended: bool,
+    last: bool,
+    after: Option<usize>,
 }
 
+/// Runs in a lobby's thread between two rounds, with its listener and its seats; `true`: another process has them now.
+pub type Pass = Box<dyn FnOnce(BorrowedFd, &[(BorrowedFd, SeatWords)]) -> bool + Send>;
+
 /// What one lobby has seen, for overviews.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
@@ -142,6 +168,7 @@
     open: Arc<AtomicUsize>,
     tally: Arc<Mutex<Tally>>,
     waker: Waker,
+    pass: Arc<Mutex<Option<Pass>>>,
 }
 
 impl Default for Door {
@@ -179,6 +206,18 @@
         }
     }
 
+    /// Has the one lobby pass what it has, at its next quiet moment. An error says that there is not one lobby.
+    pub fn pass(&self, pass: Pass) -> Result<(), &'static str> {
+        match &self.lobbies()[..] {
+            [lobby] => {
+                *lobby.pass.lock().unwrap_or_else(PoisonError::into_inner) = Some(pass);
+                lobby.waker.wake().map_err(|_| "its lobby is gone")
+            }
+            [] => Err("nobody is served"),
+            _ => Err("several listeners are served"),
+        }
+    }
+
     /// The process is about to end.
     pub fn closing(&self) -> bool {
         self.closing.load(Ordering::SeqCst)
@@ -275,6 +314,7 @@
     tally: Tally,
     told: Arc<Mutex<Tally>>,
     told_at: Micros,
+    pass: Arc<Mutex<Option<Pass>>>,
 }
 
 impl<F: Talker> Lobby<F> {
@@ -289,7 +329,14 @@
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let waker = Waker::new(poll.registry(), WAKER)?;
         let (open, told) = (Arc::new(AtomicUsize::new(0)), Arc::new(Mutex::new(Tally::default())));
-        door.lobbies().push(Peek { name, open: open.clone(), tally: told.clone(), waker });
+        let pass = Arc::default();
+        door.lobbies().push(Peek {
+            name,
+            open: open.clone(),
+            tally: told.clone(),
+            waker,
+            pass: Arc::clone(&pass),
+        });
         let tally = Tally { places: rules.places as u64, ..Tally::default() };
         Ok(Lobby {
             front,
@@ -313,9 +360,71 @@
             tally,
             told,
             told_at: Micros(0),
+            pass,
         })
     }
 
+    /// Goes on with a session of another process.
+    pub fn adopt(&mut self, fd: OwnedFd, words: SeatWords) {
+        let stream = std::net::TcpStream::from(fd);
+        let from = stream.peer_addr().and_then(|from| stream.set_nonblocking(true).map(|()| from));
+        let mut stream = TcpStream::from_std(stream);
+        let (key, now) = (self.next, self.clock.now());
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let placed = self.poll.registry().register(&mut stream, Token(key as usize), interest);
+        let (Ok(from), Ok(())) = (from, placed) else {
+            self.receipts.extend(words.receipts.into_iter().map(|msg| (msg, false)));
+            return;
+        };
+        self.next += 1;
+        let SeatWords { talk, held, out, receipts, asked, ended, last, after } = words;
+        let talk = self.front.unpack(from, &talk);
+        self.admission.connected(now, key, from.ip());
+        for _ in 0..asked {
+            self.admission.whole(now, key);
+            self.admission.answered(now, key, false);
+        }
+        if !held.is_empty() {
+            self.admission.bytes(now, key);
+        }
+        if after.is_some() {
+            self.admission.parting(now, key);
+        }
+        self.held += held.len();
+        let (unheard, readable, hung_up, until) = (!held.is_empty(), true, false, None);
+        let seat =
+            Seat { stream, talk, held, out, receipts, readable, unheard, hung_up, ended, last, after, until };
+        self.seats.insert(key, seat);
+        self.open.store(self.seats.len(), Ordering::SeqCst);
+        self.flush(now, key);
+        self.look(key);
+    }
+
+    /// Passes everything to another process, if that is asked for; `true`: it has it.
+    fn passes(&mut self) -> bool {
+        let Some(pass) = self.pass.lock().unwrap_or_else(PoisonError::into_inner).take() else {
+            return false;
+        };
+        self.report();
+        let words = |key: &u64, seat: &Seat<F::Talk>| SeatWords {
+            talk: self.front.pack(&seat.talk),
+            held: seat.held.clone(),
+            out: seat.out.clone(),
+            receipts: seat.receipts.clone(),
+            asked: match self.admission.standing(*key) {
+                Some(Standing::Once) => 1,
+                Some(Standing::Steady) => 2,
+                _ => 0,
+            },
+            ended: seat.ended,
+            last: seat.last,
+            after: seat.after,
+        };
+        let seats: Vec<_> =
+            self.seats.iter().map(|(key, seat)| (seat.stream.as_fd(), words(key, seat))).collect();
+        pass(self.listener.as_fd(), &seats)
+    }
+
     /// Serves for as long as the process lives.
     pub fn run(mut self) {
         // Danger: a lobby that is gone leaves a process that looks alive and hears nobody.
@@ -323,6 +432,10 @@
         let mut events = Events::with_capacity(256);
         let mut closing = false;
         loop {
+            if self.passes() {
+                self.open.store(0, Ordering::SeqCst);
+                return;
+            }
             let now = self.clock.now();
             let wait = if self.turn.is_empty() { self.wake_at(now) - now } else { Micros(0) };
             // Danger: an interrupted wait is not an end: a process held to its part of a core by being stopped sees one
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -8,7 +8,7 @@
 pub mod site;
 
 use super::conn::Conns;
-use super::lobby::{Door, HeldRoom, Lobby};
+use super::lobby::{Door, HeldRoom, Lobby, SeatWords};
 use super::pool::{Pool, BUF_BYTES};
 use super::{spawn, Front};
 use crate::admission::config::Wishes;
@@ -23,6 +23,7 @@
 use site::Site;
 use std::io;
 use std::net::TcpListener;
+use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -105,11 +106,14 @@
 }
 
 /// Starts the listener.
-pub fn serve(platform: &Arc<Platform>, listener: TcpListener) -> io::Result<()> {
+pub fn serve(
+    platform: &Arc<Platform>, listener: TcpListener, sessions: Vec<(OwnedFd, SeatWords)>,
+) -> io::Result<()> {
     tracing::info!(target: "platform", "platform on {}", listener.local_addr()?);
     let clients = session::Clients(platform.clone());
     let (clock, rules) = (platform.courier.clock, platform.rules.clone());
     let room = HeldRoom { all: platform.held_most, one: BUF_BYTES };
-    let lobby = Lobby::new("platform", clients, listener, &platform.door, clock, rules, room)?;
+    let mut lobby = Lobby::new("platform", clients, listener, &platform.door, clock, rules, room)?;
+    sessions.into_iter().for_each(|(fd, words)| lobby.adopt(fd, words));
     spawn("lobby", move || lobby.run()).map(|_| ())
 }
--- a/src/net/platform/session.rs
+++ b/src/net/platform/session.rs
@@ -6,6 +6,7 @@
 use crate::api::Micros;
 use crate::core::{Answer, Req};
 use crate::net::lobby::{Bye, Heard, Reply, Talker};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -26,6 +27,7 @@
 pub struct Clients(pub Arc<Platform>);
 
 /// What is remembered of one.
+#[derive(Serialize, Deserialize)]
 pub struct Talk {
     skew: Micros,
     faults: u32,
@@ -96,6 +98,15 @@
         FAULT.scale(f64::from(1 << talk.faults.min(FAULT_DOUBLES)))
     }
 
+    fn pack(&self, talk: &Talk) -> Vec<u8> {
+        // Plain numbers can't fail to be written.
+        serde_json::to_vec(talk).unwrap_or_default()
+    }
+
+    fn unpack(&self, from: SocketAddr, words: &[u8]) -> Talk {
+        serde_json::from_slice(words).unwrap_or_else(|_| self.open(from, &mut Vec::new()))
+    }
+
     fn farewell(&self, why: Bye) -> &'static str {
         match why {
             Bye::Half => "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
--- a/src/register/kept.rs
+++ b/src/register/kept.rs
@@ -127,6 +127,7 @@
 }
 
 /// A list to be kept, as the register has it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Edition {
     /// Raised with each change.
     pub number: u64,
--- a/src/register/mod.rs
+++ b/src/register/mod.rs
@@ -27,13 +27,14 @@
 use phase::{Facts, Phase};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use trust::{CallEnd, Heard, Trust, TrustRules};
 
 /// State of a listed backend.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListState {
     /// Takes new work.
     Up,
@@ -44,7 +45,7 @@
 }
 
 /// One line of a list of backends.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListLine {
     /// Name, the same at every courier.
     pub name: String,
@@ -857,6 +858,11 @@
         told.map(|(front, (back, news))| (front, back, news)).collect()
     }
 
+    /// What discovery has told each front in this life.
+    pub fn editions(&self) -> Vec<(u8, Edition)> {
+        self.books.iter().filter_map(|(front, book)| Some((*front, book.to_keep()?))).collect()
+    }
+
     /// Endpoints in the lists of all fronts, as [`Book::members`].
     pub fn members(&self) -> impl Iterator<Item = (u8, &str, bool)> {
         self.books.iter().flat_map(|(front, book)| book.members().map(|(name, out)| (*front, name, out)))
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,15 +1,17 @@
 //! Plain state and helpers of the module. No decision, no table and no tuned value: those are in `choice.rs`.
 
 use crate::api::*;
+use crate::carry::Carried;
 use crate::choice::{DEPOSIT_LIFE, HOPE_START, RESERVE_PER_S, SECOND, UPPER_DEVIATIONS};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::ops::Bound;
 
 /// Failure accrual: in use, out with trials, or returned and cold.
-#[derive(Clone, Copy, PartialEq, Default)]
+#[derive(Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub(crate) enum Health {
     #[default]
     Up,
@@ -33,13 +35,14 @@
 }
 
 /// An endpoint as this sender knows it.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Endpoint {
     pub(crate) route: RouteId,
     pub(crate) zone: ZoneId,
     pub(crate) kind: KindId,
     /// Endpoints of a higher rank stand in for those of a lower.
     pub(crate) rank: u16,
+    #[serde(skip)]
     pub(crate) listed: Listed,
     pub(crate) health: Health,
     /// The last failure was a call lost on the way, not an answer.
@@ -59,6 +62,7 @@
     pub(crate) noted: Micros,
     /// Calls that a cold endpoint may get: credit as of a moment; it grows with the cold rate.
     pub(crate) credit: (Micros, f64),
+    #[serde(skip)]
     pub(crate) calls: BTreeMap<u64, Call>,
 }
 
@@ -123,19 +127,20 @@
 }
 
 /// Token bucket of one destination: first tries deposit, repeats withdraw, deposits expire.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct RetryBudget {
     pub(crate) deposits: VecDeque<(Micros, u64)>,
 }
 
 /// The small reserve of a sender, shared over all destinations.
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Reserve {
     pub(crate) tokens: f64,
     pub(crate) at: Micros,
 }
 
 /// Pace of one route in calls a second: unbounded until refused or until a limit is known.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Pace {
     pub(crate) rate: Option<f64>,
     /// The limit for all senders, and this sender's part of it, where told.
@@ -151,19 +156,21 @@
     pub(crate) run: i32,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Route {
     pub(crate) pace: Pace,
     pub(crate) wait_until: Micros,
     /// Calls out, and when one was last taken.
+    #[serde(skip)]
     pub(crate) out: usize,
     pub(crate) taken_at: Micros,
     /// An outage was seen lately.
     pub(crate) out_until: Micros,
+    #[serde(skip)]
     pub(crate) endpoints: BTreeSet<EndpointId>,
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Destination {
     pub(crate) budget: RetryBudget,
     /// When messages were handed in, over the last ten seconds.
@@ -439,4 +446,12 @@
         let out = |e: &Endpoint| matches!(e.health, Health::Out { .. } | Health::HalfOpen);
         self.endpoints.get(&id).is_some_and(out)
     }
+
+    fn carry(&self) -> Carried {
+        Sender::carry(self)
+    }
+
+    fn go_on_with(&mut self, carried: Carried) {
+        Sender::go_on_with(self, carried);
+    }
 }
