Hold a keyed repeat to its window just before its first byte, not only when it is ordered

Checked and ruled out: a repeat after 7.5 s (none by a trace; the window of that draw is 4.8 s, which the trace then showed); outcomes taken for proof that a call never ran (all repeats and ends traced: each such message had its risk noted); another courier's copy (the request's number is the low half of its id, and one courier alone had it). Cause, traced: request timed out, its repeat was ordered at an age of 4.43 s, its connection came up a second later and the first byte went at 5.43 s. Core::begin asked Sender::may_begin for list and waits only; last_send was asked when the repeat was ordered. Change: may_begin takes the message and holds it to last_send. tests/core.rs has it in virtual time and fails without it.

--- a/lab/src/policies/plain.rs
+++ b/lab/src/policies/plain.rs
@@ -346,7 +346,7 @@
         }
     }
 
-    fn may_begin(&self, now: Micros, id: EndpointId) -> bool {
+    fn may_begin(&self, now: Micros, _message: MessageId, id: EndpointId) -> bool {
         let Some((to, listed)) = self.listed.get(&id) else { return false };
         let waits = self.lines.get(to).is_some_and(|l| l.wait_until > now);
         *listed == Listed::Ready && !waits
--- a/src/api.rs
+++ b/src/api.rs
@@ -460,8 +460,8 @@
 pub trait Decide: Send {
     /// Takes in what happened at `now` and appends what to do about it.
     fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>);
-    /// Whether a call may begin at this endpoint, just before its first byte.
-    fn may_begin(&self, now: Micros, id: EndpointId) -> bool;
+    /// Whether a call of this message may begin at this endpoint, just before its first byte.
+    fn may_begin(&self, now: Micros, message: MessageId, id: EndpointId) -> bool;
     /// Until when a destination has told to wait; 0: it has not.
     fn told_wait(&self, destination: DestinationId) -> Micros;
     /// Whether the module keeps away from this endpoint now, as it found it to be out. For overviews.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -626,9 +626,8 @@
     }
 
     /// Danger: with few messages each, senders would learn of a return by one trial each, minutes apart. A
-    /// note names an endpoint that has answered its sender after an outage. It is a hint: it opens the ramp,
-    /// no more; one that is malformed or about an endpoint in use changes nothing, and a wrong one is taken
-    /// back by the first call that fails.
+    /// note names an endpoint that has answered its sender after an outage. It only opens the ramp: one that
+    /// is malformed or of an endpoint in use changes nothing, a wrong one ends with the first call to fail.
     fn noted(&mut self, now: Micros, bytes: &[u8]) {
         let Some(id) = EndpointId::from_bytes(bytes) else { return };
         let Some(e) = self.endpoints.get_mut(&id) else { return };
@@ -761,11 +760,12 @@
         self.set.rules.cold.unwrap_or_default()
     }
 
-    /// Danger: while a connection comes up, its endpoint may start to drain or its destination may tell a
-    /// wait. Asked just before a first byte; the list and waits say whether the call may still begin.
-    pub fn may_begin(&self, now: Micros, id: EndpointId) -> bool {
+    /// Danger: while a connection comes up, its endpoint may start to drain, its destination may tell a wait,
+    /// or forget an earlier call. Asked just before a first byte; says whether the call may still begin.
+    pub fn may_begin(&self, now: Micros, message: MessageId, id: EndpointId) -> bool {
         let Some(e) = self.endpoints.get(&id).filter(|e| e.listed == Listed::Ready) else { return false };
-        self.routes.get(&e.route).is_none_or(|r| r.wait_until <= now)
+        let in_time = self.held.get(&message).is_none_or(|held| now < self.last_send(held));
+        in_time && self.routes.get(&e.route).is_none_or(|r| r.wait_until <= now)
     }
 
     // ---- Answering ----
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -654,7 +654,13 @@
         let in_time = now < fetch.req.due;
         let listed = self.register.get(fetch.req.front).is_some_and(|b| b.serves(&fetch.backend.name));
         let before_strike = self.draining.may_begin(now, &fetch.req);
-        if !alive || ends || !in_time || !listed || !before_strike || !self.sender.may_begin(now, fetch.at) {
+        if !alive
+            || ends
+            || !in_time
+            || !listed
+            || !before_strike
+            || !self.sender.may_begin(now, MessageId(fetch.msg), fetch.at)
+        {
             return false;
         }
         match self.journal.begin(fetch.msg, now, &fetch.backend.name) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -434,8 +434,8 @@
         Sender::handle(self, now, events, actions);
     }
 
-    fn may_begin(&self, now: Micros, id: EndpointId) -> bool {
-        Sender::may_begin(self, now, id)
+    fn may_begin(&self, now: Micros, message: MessageId, id: EndpointId) -> bool {
+        Sender::may_begin(self, now, message, id)
     }
 
     fn told_wait(&self, destination: DestinationId) -> Micros {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -4,6 +4,7 @@
 
 use common::{class, keyed, settings, S};
 use indigohold::core::*;
+use indigohold::store::home::Memory;
 use indigohold::store::Journal;
 use indigohold::{Effect, Micros};
 use std::net::SocketAddr;
@@ -122,6 +123,56 @@
     assert_eq!(fetch(&courier).msg, msg);
 }
 
+/// Guards against a repeat whose connection, or whose turn, came so late that its partner had forgotten the first.
+#[test]
+fn a_keyed_repeat_does_not_begin_outside_its_window() {
+    let mut settings = settings();
+    settings.classes = vec![class(Effect::Safe), class(keyed())];
+    let start = Micros(1_000 * S);
+    let journal = Journal::at(Box::new(Memory::default()), 3_000_000, start).unwrap();
+    let (mut core, orders) = Core::new(settings, 1, start, journal, Options::default());
+    let word = Word::whole(Source::Watch, 0, vec![line("a", 7, ListState::Up)], start);
+    core.report(start, Report::List { front: 0, word });
+    let ordered = |core: &mut Core, from: Micros| {
+        (0..1_500).find_map(|n| {
+            let now = from + Micros(n * 5_000);
+            core.tick(now);
+            let fetch = orders.try_iter().find_map(|o| match o {
+                Order::Fetch(fetch) => Some(fetch),
+                _ => None,
+            });
+            fetch.map(|fetch| (now, fetch))
+        })
+    };
+    for (id, late) in [("in-time", false), ("late", true)] {
+        let now = start + Micros(if late { 60 * S } else { 0 });
+        let req = Req {
+            id: id.into(),
+            front: 0,
+            dest: 7,
+            class: 1,
+            tenant: 0,
+            due: now + Micros(28 * S),
+            head: "k".into(),
+            body: [1][..].into(),
+            keep_id: Micros(0),
+        };
+        let Answer::Taken(msg) = core.report(now, Report::Req(req)) else { panic!("it is taken") };
+        core.report(now, Report::Answered(msg));
+        let (now, first) = ordered(&mut core, now).expect("a first fetch");
+        assert_eq!(core.report(now, Report::Begin(first.clone())), Answer::Go(true));
+        let (end, latency, load, said) = (End::Broke, Micros(1_000), Vec::new(), String::new());
+        core.report(now + Micros(S), Report::Done { fetch: first, end, latency, load, said });
+        let (at, again) = ordered(&mut core, now + Micros(S)).expect("a repeat within the window");
+        assert!(at < now + Micros(12 * S));
+        // Its connection comes up at once, or once the window of 12 s is over.
+        let begins = if late { now + Micros(12 * S + 1) } else { at };
+        assert_eq!(core.report(begins, Report::Begin(again.clone())), Answer::Go(!late), "{id}");
+        let (end, load, said) = (if late { End::Unsent } else { End::Delivered }, Vec::new(), String::new());
+        core.report(begins, Report::Done { fetch: again, end, latency, load, said });
+    }
+}
+
 #[test]
 fn unknown_destinations_fail_once_the_front_has_a_fresh_list() {
     let courier = courier(&folder("dest"));
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -128,6 +128,7 @@
     );
     assert_eq!(refused.header("link"), Some("<http://10.9.9.9:8081/api>; rel=\"alternate\""));
     assert_eq!(refused.header("connection"), Some("close"), "sessions end between requests");
+    until("discovery is heard", || client.status().unwrap().register == "live");
     let status = client.status().unwrap();
     assert_eq!((status.drains.len(), status.register.as_str(), status.ending), (1, "live", false));
     let (code, text) = site.command(&["drain", "watch"]);
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -48,7 +48,7 @@
 #[test]
 fn a_call_may_not_begin_against_a_drain_or_a_wait() {
     let mut b = Bench::new(settings(), vec![entry(1, 7), entry(2, 8)]);
-    let ask = |b: &Bench, n| b.sender.may_begin(Micros(b.now), endpoint(n));
+    let ask = |b: &Bench, n| b.sender.may_begin(Micros(b.now), MessageId(99), endpoint(n));
     assert!(ask(&b, 1) && ask(&b, 2) && !ask(&b, 3));
     b.feed(vec![Event::ListChange(vec![Entry { state: Listed::Draining, ..entry(1, 7) }])]);
     assert!(!ask(&b, 1) && ask(&b, 2));
