A told wait holds from when its answer came in, whichever thread reads it first

Second cause, found on the way: a 429 whose body is still on its way is believed only once it is whole, up to 300 ms later, and its wait with it; a test that withholds the body sees a call too early every time. Lines: fetch.rs, attempt (Begin asks the core, which can't know what lies unread in another thread's socket) and hear (the wait is reported with the whole answer). Change: Conns knows which calls wait for an answer; just before Begin and once after it a call looks whether anything of its destination is unread (one poll over at most as many sockets as slots) or read and not told yet, and gives its turn back if so. A wait is told to the core with its head (Report::Wait). What lies on the desk is taken in before a Begin, and its time is read once the state is held.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -160,6 +160,9 @@
     in_line: BTreeMap<u64, (Fetch, Micros)>,
     draining: Draining,
     mode: Mode,
+    /// Until when a destination is to be left alone by answers that are not read to their end yet. The module hears of a
+    /// wait with the whole answer; by then this is over or repeats it.
+    waits: HashMap<(u8, u16), Micros>,
     /// Calls that the process before carries out to their end.
     away: BTreeMap<u64, Fetch>,
     hand: Option<Arc<Hand>>,
@@ -244,8 +247,13 @@
             self.over(Over { fetch, end, latency, load, said });
             return Answer::Noted;
         }
-        let now = self.clock.now();
         let mut state = self.state();
+        // Danger: what lies on the desk may tell to wait, or that the message is over, and was there before.
+        if matches!(what, Report::Begin(_)) && self.on_desk.load(Ordering::SeqCst) > 0 {
+            drop(state);
+            state = self.state();
+        }
+        let now = self.clock.now();
         state.report(now, what)
     }
 
@@ -368,6 +376,7 @@
             in_line: BTreeMap::new(),
             draining,
             mode: Mode::Decides,
+            waits: HashMap::new(),
             away: BTreeMap::new(),
             hand: options.hand,
             hand_seen: 0,
@@ -493,6 +502,11 @@
                 parked.into_iter().flatten().for_each(|order| self.order(order));
             }
             Report::Begin(fetch) => return Answer::Go(self.begin(now, &fetch)),
+            Report::Wait { front, dest, wait } => {
+                self.waits.retain(|_, until| *until > now);
+                let until = self.waits.entry((front, dest)).or_default();
+                *until = (*until).max(now + wait);
+            }
             Report::Done { fetch, end, latency, load, said } => {
                 self.done(now, vec![Over { fetch, end, latency, load, said }]);
             }
@@ -654,11 +668,13 @@
         let in_time = now < fetch.req.due;
         let listed = self.register.get(fetch.req.front).is_some_and(|b| b.serves(&fetch.backend.name));
         let before_strike = self.draining.may_begin(now, &fetch.req);
+        let told_wait = self.waits.get(&(fetch.req.front, fetch.req.dest)).is_some_and(|until| now < *until);
         if !alive
             || ends
             || !in_time
             || !listed
             || !before_strike
+            || told_wait
             || !self.sender.may_begin(now, MessageId(fetch.msg), fetch.at)
         {
             return false;
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -117,6 +117,15 @@
     Withdrawn(u64),
     /// A fetch has its connection; may its first byte go?
     Begin(Fetch),
+    /// A backend's answer tells to wait, and is not read to its end yet.
+    Wait {
+        /// Whose.
+        front: u8,
+        /// The destination.
+        dest: u16,
+        /// For so long from now on.
+        wait: Micros,
+    },
     /// A fetch is over.
     Done {
         /// The fetch.
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -2,9 +2,11 @@
 //! those idle, which can be used again.
 
 use crate::core::Backend;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::collections::HashMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::AsFd;
 use std::os::unix::net::UnixStream;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -97,6 +99,19 @@
     }
 }
 
+/// Waits until there is something to read, an end or an error counted; an error once the deadline is past.
+pub fn readable<W: AsFd>(stream: &W, until: Instant) -> io::Result<()> {
+    loop {
+        let left = left(until)?;
+        let span = Timespec { tv_sec: left.as_secs() as i64, tv_nsec: i64::from(left.subsec_nanos()) };
+        match poll(&mut [PollFd::new(stream, PollFlags::IN)], Some(&span)) {
+            Ok(0) | Err(rustix::io::Errno::INTR) => {}
+            Ok(_) => return Ok(()),
+            Err(e) => return Err(e.into()),
+        }
+    }
+}
+
 /// Writes all bytes before the deadline.
 pub fn write_all<W: Wire>(stream: &W, mut bytes: &[u8], until: Instant) -> io::Result<()> {
     while !bytes.is_empty() {
@@ -122,10 +137,17 @@
     since: Instant,
 }
 
+/// The last byte of its request is written: from now on an answer may lie there.
+struct Asked {
+    dest: u16,
+    /// Its thread has taken something out, and has not told yet what it says.
+    hearing: bool,
+}
+
 enum Out {
     /// Ordered, without a connection yet.
     Waiting,
-    Open(Arc<TcpStream>),
+    Open(Arc<TcpStream>, Option<Asked>),
     CalledOff,
 }
 
@@ -157,12 +179,44 @@
         match lock(&self.out).get_mut(&(msg, attempt)) {
             Some(Out::CalledOff) | None => false,
             Some(out) => {
-                *out = Out::Open(stream.clone());
+                *out = Out::Open(stream.clone(), None);
                 true
             }
         }
     }
 
+    /// Its last byte is written.
+    pub fn written(&self, msg: u64, attempt: u8, dest: u16) {
+        if let Some(Out::Open(_, to)) = lock(&self.out).get_mut(&(msg, attempt)) {
+            *to = Some(Asked { dest, hearing: false });
+        }
+    }
+
+    /// Its thread is about to take something out, or has told what it said. Danger: marked after the read, a thread that
+    /// loses its processor in between has the answer and nobody knows.
+    pub fn hearing(&self, msg: u64, attempt: u8, hears: bool) {
+        if let Some(Out::Open(_, Some(asked))) = lock(&self.out).get_mut(&(msg, attempt)) {
+            asked.hearing = hears;
+        }
+    }
+
+    /// Whether something has come from this destination that the thread whose call it answers has not told yet. Danger: in a
+    /// process that gets a small part of a core that thread may be hundreds of milliseconds behind, and what has come may
+    /// tell to wait.
+    pub fn unread(&self, dest: u16) -> bool {
+        let mut streams: Vec<Arc<TcpStream>> = Vec::new();
+        for out in lock(&self.out).values() {
+            match out {
+                Out::Open(_, Some(asked)) if asked.dest == dest && asked.hearing => return true,
+                Out::Open(stream, Some(asked)) if asked.dest == dest => streams.push(stream.clone()),
+                _ => {}
+            }
+        }
+        let mut fds: Vec<PollFd> = streams.iter().map(|s| PollFd::new(s, PollFlags::IN)).collect();
+        // An error would say that nothing could be looked at.
+        !fds.is_empty() && poll(&mut fds, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+    }
+
     /// The fetch is over; `true` if it was called off.
     pub fn closed(&self, msg: u64, attempt: u8) -> bool {
         matches!(lock(&self.out).remove(&(msg, attempt)), Some(Out::CalledOff))
@@ -176,7 +230,7 @@
     /// Calls a fetch off by closing its connection. One that is over is passed by.
     pub fn cancel(&self, msg: u64, attempt: u8) {
         if let Some(out) = lock(&self.out).get_mut(&(msg, attempt)) {
-            if let Out::Open(stream) = std::mem::replace(out, Out::CalledOff) {
+            if let Out::Open(stream, _) = std::mem::replace(out, Out::CalledOff) {
                 // An error says that it is closed already.
                 let _ = stream.shutdown(Shutdown::Both);
             }
--- a/src/net/platform/fetch.rs
+++ b/src/net/platform/fetch.rs
@@ -10,7 +10,8 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// Takes orders for as long as there are any.
 pub fn work(platform: &Platform, orders: &Receiver<Fetch>) {
@@ -69,8 +70,20 @@
     let Some(len) = (left > 0).then(|| write_request(&mut buf, fetch, left)).flatten() else {
         return Done { spare: Some(stream), ..Done::without_answer(End::Unsent) };
     };
-    // The last look before the first byte: connecting may have taken long.
-    if platform.courier.report(Report::Begin(fetch.clone())) != Answer::Go(true) {
+    // The last look before the first byte: connecting may have taken long, and so may the look itself.
+    let heard_all = || {
+        let by = until.min(clock.instant(clock.now() + UNREAD));
+        while platform.conns.unread(fetch.req.dest) {
+            if Instant::now() >= by {
+                return false;
+            }
+            thread::sleep(UNREAD_NAP);
+        }
+        true
+    };
+    let goes =
+        |platform: &Platform| platform.courier.report(Report::Begin(fetch.clone())) == Answer::Go(true);
+    if !heard_all() || !goes(platform) || platform.conns.unread(fetch.req.dest) {
         return Done { spare: Some(stream), ..Done::without_answer(End::Unsent) };
     }
     let sent = Instant::now();
@@ -80,7 +93,8 @@
         return Done::without_answer(if reused { End::Unsent } else { End::NotConnected });
     }
     platform.courier.board.wrote();
-    let heard = hear(platform, &stream, &mut buf, until);
+    platform.conns.written(fetch.msg, fetch.attempt, fetch.req.dest);
+    let heard = hear(platform, fetch, &stream, &mut buf, until);
     let latency = Micros((heard.at - sent).as_micros() as u64);
     Done { end: heard.end, latency, load: heard.load, spare: heard.reusable.then_some(stream) }
 }
@@ -111,6 +125,10 @@
     Some(size - unused)
 }
 
+/// So long a call waits until what has come from its destination is read, and looks again so often.
+const UNREAD: Micros = Micros(100_000);
+const UNREAD_NAP: Duration = Duration::from_micros(500);
+
 /// The rest of an answer comes right behind its first byte; a body that is of no use is not waited for as long.
 const REST: Micros = Micros(300_000);
 const REST_UNUSED: Micros = Micros(30_000);
@@ -129,7 +147,7 @@
 /// Reads the answer. Danger: it may be noise, cut off or without end. A first line that says 200 is true whatever
 /// follows. Any other answer proves nothing unless it is whole and nothing follows: the call may have run. None of
 /// them holds the slot until the deadline.
-fn hear(platform: &Platform, stream: &TcpStream, buf: &mut Buf, until: Instant) -> Heard {
+fn hear(platform: &Platform, fetch: &Fetch, stream: &TcpStream, buf: &mut Buf, until: Instant) -> Heard {
     let clock = &platform.courier.clock;
     let within = |span| until.min(clock.instant(clock.now() + span));
     let no_answer = |end| Heard { end, load: Vec::new(), at: Instant::now(), reusable: false };
@@ -155,7 +173,12 @@
         if filled > 0 {
             rest.get_or_insert_with(|| within(REST));
         }
-        match conn::read(stream, &mut buf[filled..], rest.unwrap_or(until)) {
+        let hears = |hears| platform.conns.hearing(fetch.msg, fetch.attempt, hears);
+        hears(false);
+        let by = rest.unwrap_or(until);
+        let there = conn::readable(stream, by);
+        hears(true);
+        match there.and_then(|()| conn::read(stream, &mut buf[filled..], by)) {
             Ok(n) if n > 0 => filled += n,
             Err(e) if conn::timed_out(&e) && rest.is_none() => return no_answer(End::TimedOut),
             Err(e) if conn::timed_out(&e) => return spoilt(&buf[..filled]),
@@ -164,6 +187,11 @@
         }
     };
     let (at, end) = (Instant::now(), end_of(&head));
+    if let End::TurnedAway(Some(wait)) = end {
+        // It holds from now on, however long its body takes.
+        platform.courier.report(Report::Wait { front: fetch.req.front, dest: fetch.req.dest, wait });
+    }
+    platform.conns.hearing(fetch.msg, fetch.attempt, false);
     // Only a refusal is worth waiting for its body: it must be whole to be believed.
     let refusal = !end.may_have_run();
     let limit = within(if refusal { REST } else { REST_UNUSED });
