Tell a wait before its answer is taken out; look at what came in time after a pause

Checked: the look now reads heads by MSG_PEEK, and only 429 and 503 with a wait count. Cause, by reading: a process stopped past a call's deadline found left() over and called the answer that lay there a time-out (conn.rs, read). Change: the thread that reads an answer peeks, tells its wait, then takes it out; others peek too, so the wait is told by whoever comes first and nothing is waited for. At the deadline what has come is looked at once (1 ms), never more, as a trickle would go on for ever.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -3,10 +3,10 @@
 
 use crate::core::Backend;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::net::RecvFlags;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::os::fd::AsFd;
 use std::os::unix::net::UnixStream;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -99,19 +99,22 @@
     }
 }
 
-/// Waits until there is something to read, an end or an error counted; an error once the deadline is past.
-pub fn readable<W: AsFd>(stream: &W, until: Instant) -> io::Result<()> {
+/// Looks at some bytes before the deadline and leaves them there; 0 at the end.
+pub fn peek(stream: &TcpStream, into: &mut [u8], until: Instant) -> io::Result<usize> {
     loop {
-        let left = left(until)?;
-        let span = Timespec { tv_sec: left.as_secs() as i64, tv_nsec: i64::from(left.subsec_nanos()) };
-        match poll(&mut [PollFd::new(stream, PollFlags::IN)], Some(&span)) {
-            Ok(0) | Err(rustix::io::Errno::INTR) => {}
-            Ok(_) => return Ok(()),
-            Err(e) => return Err(e.into()),
+        stream.set_read_timeout(Some(left(until)?))?;
+        match stream.peek(into) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            other => return other,
         }
     }
 }
 
+/// What lies there, without waiting and without taking it out.
+pub fn peek_now(stream: &TcpStream, into: &mut [u8]) -> usize {
+    rustix::net::recv(stream, into, RecvFlags::PEEK | RecvFlags::DONTWAIT).map_or(0, |(_, n)| n)
+}
+
 /// Writes all bytes before the deadline.
 pub fn write_all<W: Wire>(stream: &W, mut bytes: &[u8], until: Instant) -> io::Result<()> {
     while !bytes.is_empty() {
@@ -137,17 +140,11 @@
     since: Instant,
 }
 
-/// The last byte of its request is written: from now on an answer may lie there.
-struct Asked {
-    dest: u16,
-    /// Its thread has taken something out, and has not told yet what it says.
-    hearing: bool,
-}
-
 enum Out {
     /// Ordered, without a connection yet.
     Waiting,
-    Open(Arc<TcpStream>, Option<Asked>),
+    /// Its destination, once the last byte of its request is written: from then on an answer may lie there.
+    Open(Arc<TcpStream>, Option<u16>),
     CalledOff,
 }
 
@@ -188,33 +185,26 @@
     /// Its last byte is written.
     pub fn written(&self, msg: u64, attempt: u8, dest: u16) {
         if let Some(Out::Open(_, to)) = lock(&self.out).get_mut(&(msg, attempt)) {
-            *to = Some(Asked { dest, hearing: false });
+            *to = Some(dest);
         }
     }
 
-    /// Its thread is about to take something out, or has told what it said. Danger: marked after the read, a thread that
-    /// loses its processor in between has the answer and nobody knows.
-    pub fn hearing(&self, msg: u64, attempt: u8, hears: bool) {
-        if let Some(Out::Open(_, Some(asked))) = lock(&self.out).get_mut(&(msg, attempt)) {
-            asked.hearing = hears;
-        }
-    }
-
-    /// Whether something has come from this destination that the thread whose call it answers has not told yet. Danger: in a
-    /// process that gets a small part of a core that thread may be hundreds of milliseconds behind, and what has come may
-    /// tell to wait.
-    pub fn unread(&self, dest: u16) -> bool {
-        let mut streams: Vec<Arc<TcpStream>> = Vec::new();
-        for out in lock(&self.out).values() {
-            match out {
-                Out::Open(_, Some(asked)) if asked.dest == dest && asked.hearing => return true,
-                Out::Open(stream, Some(asked)) if asked.dest == dest => streams.push(stream.clone()),
-                _ => {}
-            }
-        }
+    /// Connections on which something has come from this destination that nobody has taken out yet.
+    pub fn unread(&self, dest: u16) -> Vec<Arc<TcpStream>> {
+        let of = |out: &Out| match out {
+            Out::Open(stream, Some(to)) if *to == dest => Some(stream.clone()),
+            _ => None,
+        };
+        let mut streams: Vec<Arc<TcpStream>> = lock(&self.out).values().filter_map(of).collect();
         let mut fds: Vec<PollFd> = streams.iter().map(|s| PollFd::new(s, PollFlags::IN)).collect();
         // An error would say that nothing could be looked at.
-        !fds.is_empty() && poll(&mut fds, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+        if fds.is_empty() || !poll(&mut fds, Some(&Timespec::default())).is_ok_and(|ready| ready > 0) {
+            return Vec::new();
+        }
+        let ready: Vec<bool> = fds.iter().map(|fd| !fd.revents().is_empty()).collect();
+        let mut ready = ready.into_iter();
+        streams.retain(|_| ready.next().unwrap_or_default());
+        streams
     }
 
     /// The fetch is over; `true` if it was called off.
--- a/src/net/platform/fetch.rs
+++ b/src/net/platform/fetch.rs
@@ -10,7 +10,6 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::thread;
 use std::time::{Duration, Instant};
 
 /// Takes orders for as long as there are any.
@@ -71,19 +70,9 @@
         return Done { spare: Some(stream), ..Done::without_answer(End::Unsent) };
     };
     // The last look before the first byte: connecting may have taken long, and so may the look itself.
-    let heard_all = || {
-        let by = until.min(clock.instant(clock.now() + UNREAD));
-        while platform.conns.unread(fetch.req.dest) {
-            if Instant::now() >= by {
-                return false;
-            }
-            thread::sleep(UNREAD_NAP);
-        }
-        true
-    };
-    let goes =
-        |platform: &Platform| platform.courier.report(Report::Begin(fetch.clone())) == Answer::Go(true);
-    if !heard_all() || !goes(platform) || platform.conns.unread(fetch.req.dest) {
+    hear_others(platform, fetch);
+    let goes = platform.courier.report(Report::Begin(fetch.clone())) == Answer::Go(true);
+    if !goes || hear_others(platform, fetch) {
         return Done { spare: Some(stream), ..Done::without_answer(End::Unsent) };
     }
     let sent = Instant::now();
@@ -125,9 +114,35 @@
     Some(size - unused)
 }
 
-/// So long a call waits until what has come from its destination is read, and looks again so often.
-const UNREAD: Micros = Micros(100_000);
-const UNREAD_NAP: Duration = Duration::from_micros(500);
+/// What has come by the deadline is looked at for so long.
+const LAST_LOOK: Duration = Duration::from_millis(1);
+/// Bytes of an answer within which its head is looked for before it is taken out.
+const PEEKED: usize = 1024;
+
+/// Tells the core what waits lie unread in other calls' connections to the same destination; whether there is one. Danger: in
+/// a process that gets a small part of a core the thread that is to read an answer may be hundreds of milliseconds behind,
+/// and a call that begins meanwhile breaks the wait. Who reads an answer tells its wait before taking it out, so it is seen
+/// by one or the other.
+fn hear_others(platform: &Platform, fetch: &Fetch) -> bool {
+    let (mut head, mut told) = ([0; PEEKED], false);
+    for stream in platform.conns.unread(fetch.req.dest) {
+        let n = conn::peek_now(&stream, &mut head);
+        told |= tell_wait(platform, fetch, &head[..n]);
+    }
+    told
+}
+
+/// Tells the core the wait in the head of an answer, if there is one. It holds from now on, however long the body takes.
+fn tell_wait(platform: &Platform, fetch: &Fetch, bytes: &[u8]) -> bool {
+    // Most answers tell none and are read once.
+    if !bytes.starts_with(b"HTTP/1.") || !matches!(bytes.get(9..12), Some(b"429" | b"503")) {
+        return false;
+    }
+    let Ok(Some(head)) = http::answer(bytes, &platform.names.load) else { return false };
+    let End::TurnedAway(Some(wait)) = end_of(&head) else { return false };
+    platform.courier.report(Report::Wait { front: fetch.req.front, dest: fetch.req.dest, wait });
+    true
+}
 
 /// The rest of an answer comes right behind its first byte; a body that is of no use is not waited for as long.
 const REST: Micros = Micros(300_000);
@@ -173,12 +188,14 @@
         if filled > 0 {
             rest.get_or_insert_with(|| within(REST));
         }
-        let hears = |hears| platform.conns.hearing(fetch.msg, fetch.attempt, hears);
-        hears(false);
-        let by = rest.unwrap_or(until);
-        let there = conn::readable(stream, by);
-        hears(true);
-        match there.and_then(|()| conn::read(stream, &mut buf[filled..], by)) {
+        // Danger: a process that was held up past the deadline finds the answer that came in time, with its wait, and must
+        // not call it none. Only the first look is let off: a trickle would go on for ever.
+        let by = if filled == 0 { until.max(Instant::now() + LAST_LOOK) } else { rest.unwrap_or(until) };
+        let there = conn::peek(stream, &mut buf[filled..], by);
+        if let Ok(n) = there {
+            tell_wait(platform, fetch, &buf[..filled + n]);
+        }
+        match there.and_then(|_| conn::read(stream, &mut buf[filled..], by)) {
             Ok(n) if n > 0 => filled += n,
             Err(e) if conn::timed_out(&e) && rest.is_none() => return no_answer(End::TimedOut),
             Err(e) if conn::timed_out(&e) => return spoilt(&buf[..filled]),
@@ -187,11 +204,6 @@
         }
     };
     let (at, end) = (Instant::now(), end_of(&head));
-    if let End::TurnedAway(Some(wait)) = end {
-        // It holds from now on, however long its body takes.
-        platform.courier.report(Report::Wait { front: fetch.req.front, dest: fetch.req.dest, wait });
-    }
-    platform.conns.hearing(fetch.msg, fetch.attempt, false);
     // Only a refusal is worth waiting for its body: it must be whole to be believed.
     let refusal = !end.may_have_run();
     let limit = within(if refusal { REST } else { REST_UNUSED });
