Fleets with faults between processes in the lab; what a client gave up is not taken on

Found by it in its first run (a dozen processes, two stopped for 1.5 s): orders printed twice. Trace: message 227, a print order, handed in at instance 0 (stopped), not answered in 400 ms, handed in at 6, delivered; instance 0 goes on, takes it on from the connection that its client had closed, and prints it again. Ruled out: stale binaries (one run was with one), lost answers on links (the rule is told apart where a scenario loses answers). Lines: net/lobby.rs, hear: the end behind a whole request was looked at only after the request had been handed to the core. Change: a request with its connection's end behind it is refused where the front has words for it (Bye::Gone, 503 and when to come back: harmless also for who has ended its sending only); mail takes it, as it knows texts that come again. One look (MSG_PEEK) a request, as a connection that was let in just now has had no event that would tell.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clients;
 pub mod experiment;
 pub mod figures;
+pub mod fleet;
 pub mod load;
 pub mod policies;
 pub mod record;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the lab.
 
 mod real;
+mod returns;
 
 use clap::{Args, Parser, Subcommand};
 use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
@@ -66,6 +67,10 @@
         #[arg(long)]
         keep: Option<PathBuf>,
     },
+    /// Run a scenario beside its unharmed twin and print the fleet's measures: time to full service, asks, connections
+    Fleet(returns::FleetArgs),
+    /// Measure how fleets come back: a table by instances, share killed, register's outage and lost folders
+    Comeback(returns::ComebackArgs),
     /// Run scenarios in both engines and print their figures side by side (virtual / sockets)
     Agree {
         /// Scenarios by name or file
@@ -287,6 +292,16 @@
             let outcome = real::run(&value, &scenario, seed, folder.as_deref(), print_outcome)?;
             return Ok(verdict(&outcome));
         }
+        Command::Fleet(args) => {
+            let (value, scenario) = args.what.read()?;
+            let run = returns::one(&scenario, &args)?;
+            println!("{}", returns::tables(&[("".into(), run.clone())], table));
+            if let Some(folder) = &args.keep {
+                returns::keep(folder, &value, &run)?;
+            }
+            return Ok(ExitCode::from(u8::from(!run.broken.is_empty())));
+        }
+        Command::Comeback(args) => return returns::comeback(&args, table),
         Command::Agree { scenarios, seeds } => {
             let head = [
                 "scenario",
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -129,6 +129,22 @@
         /// What.
         state: Listed,
     },
+    /// An instance asked the register for its list, and was answered or turned away.
+    Asked {
+        /// Who.
+        by: Instance,
+        /// It has the list.
+        answered: bool,
+    },
+    /// An instance opened a connection to an endpoint.
+    Connected {
+        /// Who.
+        by: Instance,
+        /// Where.
+        to: EndpointNo,
+    },
+    /// An instance is stopped, or goes on.
+    Paused(Instance, bool),
     /// An instance serves.
     Up(Instance),
     /// An instance was told to end.
@@ -204,6 +220,16 @@
             Fact::Listed { to, endpoint, state } => {
                 write!(f, "instance {to} hears that endpoint {endpoint} is {state:?}")
             }
+            Fact::Asked { by, answered } => {
+                write!(
+                    f,
+                    "instance {by} asks for the list, {}",
+                    if *answered { "answered" } else { "turned away" }
+                )
+            }
+            Fact::Connected { by, to } => write!(f, "instance {by} connects to endpoint {to}"),
+            Fact::Paused(n, true) => write!(f, "instance {n} is stopped"),
+            Fact::Paused(n, false) => write!(f, "instance {n} goes on"),
             Fact::Up(n) => write!(f, "instance {n} serves"),
             Fact::Ending(n) => write!(f, "instance {n} is told to end"),
             Fact::Down(n, lost) => {
@@ -268,7 +294,7 @@
             })
             .collect();
         let wanted = |f: &Fact| match f {
-            Fact::Up(n) | Fact::Down(n, _) | Fact::Ending(n) => instances.contains(n),
+            Fact::Up(n) | Fact::Down(n, _) | Fact::Ending(n) | Fact::Paused(n, _) => instances.contains(n),
             Fact::Listed { to, endpoint, .. } => {
                 lists && instances.contains(to) && endpoints.contains(endpoint)
             }
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -6,6 +6,7 @@
 
 use indigohold::checked::{self, Doc, Fault};
 use indigohold::Micros;
+use indigohold_relay::Rule;
 use serde_json::Value;
 
 /// How a class's repeats are treated by partners.
@@ -183,6 +184,10 @@
     pub late: (f64, f64),
     /// It is not there from one moment to another (seconds).
     pub down: Vec<(f64, f64)>,
+    /// It answers one call after another, each in so long (seconds); 0: all at once.
+    pub serves: f64,
+    /// Who has waited for so long gets 503 (seconds).
+    pub waits: f64,
 }
 
 /// Which of many.
@@ -251,6 +256,37 @@
     pub gently: bool,
     /// The folder that lasts is lost with the machine.
     pub loses_disk: bool,
+    /// What is done to the folder before the next life (on sockets only).
+    pub folder: Folder,
+    /// The next life is stopped before it says anything, for so long, in seconds, and then killed and started anew; 0: it is
+    /// not (on sockets only).
+    pub stuck: f64,
+}
+
+/// What is done to a folder between two lives.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Folder {
+    /// Nothing.
+    Kept,
+    /// The copy of this moment (seconds) is put back.
+    Older(f64),
+    /// Its newest journal file is missing.
+    Missing,
+    /// Nothing in it can be written, as far as its mode goes.
+    ReadOnly,
+    /// No file can grow past so many bytes.
+    NoRoom(u64),
+}
+
+/// Instances that are stopped and go on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Pause {
+    /// When, in seconds.
+    pub at: f64,
+    /// How many at once, drawn by chance.
+    pub count: usize,
+    /// For how long, in seconds.
+    pub lasts: f64,
 }
 
 /// What the courier has.
@@ -297,6 +333,10 @@
     pub faults: Vec<Fault_>,
     /// Who dies.
     pub kills: Vec<Kill>,
+    /// Who is stopped and goes on (on sockets only).
+    pub pauses: Vec<Pause>,
+    /// What goes wrong on links, as in a relay's file; the parties are `c0`, `e0`, `registry` and `clients` (on sockets only).
+    pub links: Vec<Rule>,
 }
 
 fn micros(seconds: f64) -> Micros {
@@ -439,7 +479,12 @@
 fn registry(doc: &Doc) -> Registry {
     let late = doc.span("late_ms", (10.0, 200.0), 0.0..=3.6e6);
     let down = |d: &Doc| (d.number("from_s", 0.0, 0.0..=1e6), d.number("to_s", 0.0, 0.0..=1e6));
-    Registry { late: (late.0 / 1e3, late.1 / 1e3), down: doc.objects("down", 100, down) }
+    Registry {
+        late: (late.0 / 1e3, late.1 / 1e3),
+        down: doc.objects("down", 100, down),
+        serves: doc.number("serves_ms", 0.0, 0.0..=60_000.0) / 1e3,
+        waits: doc.number("waits_ms", 1_000.0, 0.0..=600_000.0) / 1e3,
+    }
 }
 
 fn fault(doc: &Doc) -> Fault_ {
@@ -475,7 +520,18 @@
 }
 
 fn kill(doc: &Doc) -> Kill {
+    let copied = doc.number("copied_s", 1.0, 0.0..=1e6);
+    let room = doc.whole("room_bytes", 4_096, 0..=1 << 40);
+    let folders = [
+        ("kept", Folder::Kept),
+        ("older", Folder::Older(copied)),
+        ("missing", Folder::Missing),
+        ("read_only", Folder::ReadOnly),
+        ("no_room", Folder::NoRoom(room)),
+    ];
     Kill {
+        folder: doc.choice("folder", &folders),
+        stuck: doc.number("stuck_s", 0.0, 0.0..=1e6),
         at: doc.number("at_s", 5.0, 0.0..=1e6),
         count: doc.whole("count", 1, 1..=100_000) as usize,
         apart: doc.number("apart_s", 0.0, 0.0..=1e6),
@@ -485,6 +541,14 @@
     }
 }
 
+fn pause(doc: &Doc) -> Pause {
+    Pause {
+        at: doc.number("at_s", 5.0, 0.0..=1e6),
+        count: doc.whole("count", 1, 1..=100_000) as usize,
+        lasts: doc.number("lasts_s", 1.0, 0.0..=1e6),
+    }
+}
+
 fn courier(doc: &Doc) -> Courier {
     Courier {
         instances: doc.whole("instances", 4, 1..=10_000) as usize,
@@ -513,6 +577,8 @@
         network: (network.0 / 1e3, network.1 / 1e3),
         faults: doc.objects("faults", 1_000, fault),
         kills: doc.objects("kills", 1_000, kill),
+        pauses: doc.objects("pauses", 1_000, pause),
+        links: doc.objects("links", 1_000, indigohold_relay::rules::read),
     };
     let all = |shares: Vec<f64>| shares.iter().sum::<f64>() > 0.0;
     if !all(out.classes.iter().map(|c| c.share).collect()) {
@@ -591,13 +657,39 @@
         self.clients.load * ramp * self.clients.surges.iter().filter(surge).map(|s| s.2).product::<f64>()
     }
 
+    /// The same world with nothing that goes wrong: what a fleet does unharmed.
+    pub fn unharmed(&self) -> Scenario {
+        let mut twin = self.clone();
+        twin.faults.clear();
+        twin.kills.clear();
+        twin.pauses.clear();
+        twin.registry.down.clear();
+        // The links stay, so that both runs go through the same relay; nothing is done to them.
+        twin.links.iter_mut().for_each(|rule| rule.chance = 0.0);
+        twin
+    }
+
+    /// What of it is played on sockets only.
+    pub fn sockets_only(&self) -> Vec<&'static str> {
+        let folder = |k: &Kill| k.folder != Folder::Kept;
+        let parts = [
+            (!self.links.is_empty(), "links"),
+            (!self.pauses.is_empty(), "pauses"),
+            (self.kills.iter().any(folder), "kills[].folder"),
+            (self.kills.iter().any(|k| k.stuck > 0.0), "kills[].stuck_s"),
+        ];
+        parts.into_iter().filter(|(there, _)| *there).map(|(_, name)| name).collect()
+    }
+
     /// When the last thing that goes wrong is over, in seconds; `None`: nothing does.
     pub fn last_trouble(&self) -> Option<f64> {
         let faults = self.faults.iter().map(|f| if f.every > 0.0 { self.seconds } else { f.at + f.lasts });
-        let kills = self.kills.iter().map(|k| k.at + k.apart * (k.count - 1) as f64 + k.away);
+        let kills = self.kills.iter().map(|k| k.at + k.apart * (k.count - 1) as f64 + k.away + k.stuck);
+        let pauses = self.pauses.iter().map(|p| p.at + p.lasts);
+        let links = self.links.iter().map(|l| l.during.1.min(self.seconds));
         let down = self.registry.down.iter().map(|d| d.1);
         let surges = self.clients.surges.iter().map(|s| s.1);
-        faults.chain(kills).chain(down).chain(surges).max_by(f64::total_cmp)
+        faults.chain(kills).chain(pauses).chain(links).chain(down).chain(surges).max_by(f64::total_cmp)
     }
 }
 
--- a/lab/src/virtual_time/mod.rs
+++ b/lab/src/virtual_time/mod.rs
@@ -48,8 +48,9 @@
     TimesOut(Instance, u32, u64, u8, CallNo),
     /// A change of the list, by its place among all changes.
     Listed(Instance, u32, usize),
-    /// The whole list.
+    /// The whole list is asked for, and is told.
     Whole(Instance, u32),
+    Answered(Instance, u32),
     ListFails(Instance, u32),
     Heartbeat(Instance, u32),
     Noticed(Instance, u32, u64, MsgNo, Option<Option<u64>>),
@@ -87,6 +88,8 @@
     calls: std::collections::HashMap<CallNo, (Instance, u32, u64, u8, Reply)>,
     next_call: CallNo,
     changes: Vec<(EndpointNo, Listed)>,
+    /// Until when the register is busy with calls that came before.
+    register_free: Micros,
     states: Vec<Listed>,
     body: Arc<[u8]>,
     wants: Clients,
@@ -126,6 +129,7 @@
             calls: Default::default(),
             next_call: 0,
             changes: Vec::new(),
+            register_free: EPOCH,
             body: b"ten trumpet parts"[..].into(),
             wants: Clients::new(scenario, streams),
             coming: None,
@@ -240,7 +244,8 @@
                     );
                 }
             }
-            Event::Whole(n, life) => self.tell_whole(n, life),
+            Event::Whole(n, life) => self.asked(n, life),
+            Event::Answered(n, life) => self.tell_whole(n, life),
             Event::ListFails(n, life) => {
                 let now = self.now;
                 if let Some(life) = self.life(n, life) {
@@ -501,6 +506,20 @@
         self.scenario.registry.down.iter().any(|(from, to)| *from <= at && at < *to)
     }
 
+    /// One call after another, if the scenario says so.
+    fn asked(&mut self, n: Instance, number: u32) {
+        let conf = &self.scenario.registry;
+        let (serves, waits) = (Micros::from_secs(conf.serves), Micros::from_secs(conf.waits));
+        let begins = self.register_free.max(self.now);
+        let answered = !self.registry_is_down() && begins - self.now <= waits;
+        self.put(Fact::Asked { by: n, answered });
+        if !answered {
+            return self.step(Event::ListFails(n, number));
+        }
+        self.register_free = begins + serves;
+        self.at(begins + serves, Event::Answered(n, number));
+    }
+
     fn tell_whole(&mut self, n: Instance, number: u32) {
         if self.registry_is_down() {
             return self.step(Event::ListFails(n, number));
@@ -606,6 +625,7 @@
         }
         match self.world.connect(now, to, n as usize) {
             Connect::Up(work) => {
+                self.put(Fact::Connected { by: n, to });
                 let at = now + self.hop() + self.hop() + work;
                 self.at(at, Event::Connected(n, number, key.0, key.1));
             }
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -88,6 +88,7 @@
     asks: Sender<Ask>,
     waker: Waker,
     thread: Option<thread::JoinHandle<()>>,
+    began: Instant,
 }
 
 impl Relay {
@@ -97,11 +98,12 @@
         let waker = Waker::new(poll.registry(), WAKES)?;
         let (asks, heard) = unbounded();
         let mut run = Run::new(poll, heard, seed, limits);
+        let began = run.began;
         rules.into_iter().for_each(|rule| {
             run.add(rule);
         });
         let thread = thread::Builder::new().name("relay".into()).spawn(move || run.go())?;
-        Ok(Relay { asks, waker, thread: Some(thread) })
+        Ok(Relay { asks, waker, thread: Some(thread), began })
     }
 
     fn ask<T>(&self, by: impl FnOnce(Sender<T>) -> Ask) -> io::Result<T> {
@@ -112,6 +114,11 @@
         answer.recv().map_err(|_| gone())
     }
 
+    /// How long it has been running: the moments of rules count from its start.
+    pub fn age(&self) -> Duration {
+        self.began.elapsed()
+    }
+
     /// A link to this target; dial the address that comes back.
     pub fn link(&self, name: LinkName, target: SocketAddr) -> io::Result<SocketAddr> {
         self.ask(|to| Ask::Link(name, target, to))?
--- a/src/net/lobby.rs
+++ b/src/net/lobby.rs
@@ -83,6 +83,8 @@
     Half,
     /// Too much is half sent, by all clients together.
     Full,
+    /// It ended its side before its request was heard; no words: the front takes such a request all the same.
+    Gone,
 }
 
 /// What a front does with its clients. Nothing here may wait for one.
@@ -152,6 +154,9 @@
     pub kept_waiting: u64,
     /// Times that no descriptor was free.
     pub no_descriptor: u64,
+    /// Requests whose client had gone before they were heard.
+    #[serde(default)]
+    pub gone: u64,
     /// Requests answered, and the most of them in one go.
     pub answered: u64,
     /// See there.
@@ -790,6 +795,19 @@
             let (readable, ended, nothing) = (seat.readable, seat.ended, left == 0);
             match end {
                 Some(Heard::Ask(ask)) => {
+                    let words = self.front.farewell(Bye::Gone);
+                    // One that was let in just now has had no event yet that would tell of its end.
+                    let ended = |s: &Seat<F::Talk>| s.stream.peek(&mut [0]).is_ok_and(|n| n == 0);
+                    if !words.is_empty() && (seat.ended || seat.hung_up || ended(seat)) {
+                        // Danger: a client that was not answered in time closes, and hands in elsewhere. A process that
+                        // was held up finds its request with the end behind it; taken on now, it would be delivered
+                        // beside the other. Who has only ended its sending reads that it is to come again.
+                        self.tally.gone += 1;
+                        seat.out.extend(words.as_bytes());
+                        seat.last = true;
+                        self.flush(now, key);
+                        return None;
+                    }
                     seat.unheard = left > 0;
                     return Some(ask);
                 }
--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -74,8 +74,12 @@
         asks.into_iter().map(|none| match none {}).collect()
     }
 
-    fn farewell(&self, _why: Bye) -> &'static str {
-        "421 4.3.2 closing\r\n"
+    fn farewell(&self, why: Bye) -> &'static str {
+        match why {
+            // A text that is handed in again is recognised by sender, recipient and Message-ID.
+            Bye::Gone => "",
+            _ => "421 4.3.2 closing\r\n",
+        }
     }
 
     fn full(&self) -> Option<&'static str> {
--- a/src/net/platform/session.rs
+++ b/src/net/platform/session.rs
@@ -110,7 +110,7 @@
     fn farewell(&self, why: Bye) -> &'static str {
         match why {
             Bye::Half => "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-            Bye::Full => {
+            Bye::Full | Bye::Gone => {
                 "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
             }
             // Danger: what is said on an idle connection would be read as the answer to a request that crosses it.
--- a/tests/waits.rs
+++ b/tests/waits.rs
@@ -191,3 +191,32 @@
     let early = &book.lock().unwrap().early;
     !early.is_empty()
 }
+
+/// A client that was not answered in its 400 ms closes and hands in elsewhere. A process that was stopped meanwhile finds the
+/// request with the end behind it, on a session that it knew and on one that it had not let in yet, and takes neither on.
+#[test]
+fn what_its_client_has_given_up_is_not_taken_on_after_a_pause() {
+    let site = site(256, 64);
+    let (program, addr) = site.start();
+    let mut known = connect(addr);
+    assert_eq!(send(&mut known, "before"), Seen::Status(202));
+    let pid = Pid::from_child(&program.child);
+    kill_process(pid, Signal::STOP).unwrap();
+    let mut new = connect(addr);
+    known.write_all(api("gone-1").as_bytes()).unwrap();
+    new.write_all(api("gone-2").as_bytes()).unwrap();
+    drop((known, new));
+    // Who has only ended its sending reads that it may come again.
+    let mut half = connect(addr);
+    half.write_all(api("half").as_bytes()).unwrap();
+    half.shutdown(std::net::Shutdown::Write).unwrap();
+    kill_process(pid, Signal::CONT).unwrap();
+    assert_eq!(answer(&mut half), Seen::Status(503));
+    let mut stays = connect(addr);
+    assert_eq!(send(&mut stays, "after"), Seen::Status(202));
+    until("both deliveries", || site.endpoint.count("before") + site.endpoint.count("after") == 2);
+    thread::sleep(Duration::from_millis(300));
+    for id in ["gone-1", "gone-2", "half"] {
+        assert_eq!(site.endpoint.count(id), 0, "{id} was taken on");
+    }
+}
