Look at what came in time also where a stop interrupts the read past its deadline

Cause, by reading and by the times: a stop interrupts the blocked read (EINTR; reads with a time-out are not restarted); the loop in conn::peek asked how much time was left, found none and returned TimedOut, though the answer lay there. Change: past its deadline peek looks once without waiting. Only where nothing was read before: a trickle goes on for ever otherwise.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -99,10 +99,16 @@
     }
 }
 
-/// Looks at some bytes before the deadline and leaves them there; 0 at the end.
+/// Looks at some bytes before the deadline and leaves them there; 0 at the end. What is there counts, however late the look:
+/// danger, a process that is stopped past the deadline wakes up by an interrupted call, and what came in time would be taken
+/// for nothing.
 pub fn peek(stream: &TcpStream, into: &mut [u8], until: Instant) -> io::Result<usize> {
     loop {
-        stream.set_read_timeout(Some(left(until)?))?;
+        let Ok(left) = left(until) else {
+            let (_, n) = rustix::net::recv(stream, into, RecvFlags::PEEK | RecvFlags::DONTWAIT)?;
+            return Ok(n);
+        };
+        stream.set_read_timeout(Some(left))?;
         match stream.peek(into) {
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             other => return other,
--- a/src/net/platform/fetch.rs
+++ b/src/net/platform/fetch.rs
@@ -7,7 +7,7 @@
 use crate::net::conn;
 use crate::net::pool::Buf;
 use crossbeam_channel::Receiver;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -114,8 +114,8 @@
     Some(size - unused)
 }
 
-/// What has come by the deadline is looked at for so long.
-const LAST_LOOK: Duration = Duration::from_millis(1);
+/// A bound for reading what lies there.
+const AT_ONCE: Duration = Duration::from_secs(1);
 /// Bytes of an answer within which its head is looked for before it is taken out.
 const PEEKED: usize = 1024;
 
@@ -188,13 +188,18 @@
         if filled > 0 {
             rest.get_or_insert_with(|| within(REST));
         }
-        // Danger: a process that was held up past the deadline finds the answer that came in time, with its wait, and must
-        // not call it none. Only the first look is let off: a trickle would go on for ever.
-        let by = if filled == 0 { until.max(Instant::now() + LAST_LOOK) } else { rest.unwrap_or(until) };
-        let there = conn::peek(stream, &mut buf[filled..], by);
+        // Only the first look may be late: a trickle would go on for ever.
+        let by = rest.unwrap_or(until);
+        let there = match filled {
+            0 => conn::peek(stream, &mut buf[..], by),
+            _ if Instant::now() < by => conn::peek(stream, &mut buf[filled..], by),
+            _ => Err(ErrorKind::TimedOut.into()),
+        };
         if let Ok(n) = there {
             tell_wait(platform, fetch, &buf[..filled + n]);
         }
+        // It is there, so this does not wait.
+        let by = Instant::now() + AT_ONCE;
         match there.and_then(|_| conn::read(stream, &mut buf[filled..], by)) {
             Ok(n) if n > 0 => filled += n,
             Err(e) if conn::timed_out(&e) && rest.is_none() => return no_answer(End::TimedOut),
