Lab: charts of a fleet's return, latency distribution, what a life can't know of the last

Seen: 'taken first' and 'one end' at a kill of 14 of 20; trace: the endpoint's 200 written 0.4 ms before the kill, the next life repeats a safe message. Cause: the checker took what the world wrote for what the courier had read. Now a life that began after the delivery is not held to know it; what must not be repeated is held to 'twice' as before (a trace by hand for both). Also: a test of answers that come after the message's time and after the next life's start; a register that serves in turn in virtual time (30 instances, 21 killed at once).

--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -108,6 +108,9 @@
     pub classes: Vec<ClassFigures>,
     /// From wanted to known as delivered, all classes.
     pub latency: Latency,
+    /// Its distribution: milliseconds within which each whole percent of the delivered messages was known, from 0 to 100.
+    #[serde(default)]
+    pub distribution: Vec<f64>,
     /// By second.
     pub seconds: Vec<Second>,
 }
@@ -152,6 +155,7 @@
         toppled: 0,
         classes: Vec::new(),
         latency: Latency::default(),
+        distribution: Vec::new(),
         seconds: Vec::new(),
     };
     for (at, fact) in &record.facts {
@@ -239,6 +243,7 @@
         });
     }
     f.latency = Latency::of(&all);
+    f.distribution = (0..=100).map(|n| all.value_at_quantile(f64::from(n) / 100.0) as f64 / 1e3).collect();
     f.goodput = over(&seconds);
     f.worst_10s = seconds.windows(WORST_SPAN.min(span)).map(over).fold(f64::INFINITY, f64::min);
     (f.recovery_s, f.stuck) = recovery(scenario, &seconds);
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -9,8 +9,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// Service is looked at so often, over so long, and has to hold for so long; in steps.
-const STEP: f64 = 0.25;
+/// Service is looked at so often, in seconds.
+pub const STEP: f64 = 0.25;
+/// It is looked at over so long, and has to hold for so long; in steps.
 const WINDOW: usize = 4;
 const HOLDS: usize = 8;
 /// Full service: this share of what the twin delivers in time.
--- a/lab/src/report/charts.rs
+++ b/lab/src/report/charts.rs
@@ -2,6 +2,7 @@
 
 use super::{Group, Row};
 use crate::experiment::Outcome;
+use crate::fleet::{Step, STEP};
 use plotters::prelude::*;
 use std::error::Error;
 
@@ -24,6 +25,11 @@
 
 /// Lines over seconds.
 fn lines(title: &str, unit: &str, series: &[(&str, Vec<f64>)]) -> Drawn {
+    over(title, ("seconds", 1.0), unit, series)
+}
+
+/// Lines over steps of a unit.
+fn over(title: &str, (across, step): (&str, f64), unit: &str, series: &[(&str, Vec<f64>)]) -> Drawn {
     let mut out = String::new();
     {
         let area = SVGBackend::with_string(&mut out, SIZE).into_drawing_area();
@@ -35,12 +41,12 @@
             .margin(8)
             .x_label_area_size(32)
             .y_label_area_size(56)
-            .build_cartesian_2d(0f64..(len - 1) as f64, 0f64..most * 1.05)
+            .build_cartesian_2d(0f64..(len - 1) as f64 * step, 0f64..most * 1.05)
             .map_err(fail)?;
-        chart.configure_mesh().x_desc("seconds").y_desc(unit).light_line_style(WHITE).draw().map_err(fail)?;
+        chart.configure_mesh().x_desc(across).y_desc(unit).light_line_style(WHITE).draw().map_err(fail)?;
         for (n, (name, values)) in series.iter().enumerate() {
             let colour = COLOURS[n % COLOURS.len()];
-            let points = values.iter().enumerate().map(|(at, v)| (at as f64, *v));
+            let points = values.iter().enumerate().map(|(at, v)| (at as f64 * step, *v));
             chart
                 .draw_series(LineSeries::new(points, colour.stroke_width(2)))
                 .map_err(fail)?
@@ -78,6 +84,43 @@
             ],
         )?,
         lines("Taken on and without an end", "messages", &[("owed", of(|s| f64::from(s.owed)))])?,
+        over(
+            "Latency of what was delivered",
+            ("percent of the messages", 1.0),
+            "ms",
+            &[("known as delivered within", outcome.figures.distribution.clone())],
+        )?,
+    ])
+}
+
+/// Charts of a fleet's return, beside its unharmed twin.
+pub(super) fn fleet(ours: &[Step], twin: &[Step]) -> Result<Vec<String>, Box<dyn Error + Send + Sync>> {
+    let of =
+        |steps: &[Step], by: fn(&Step) -> u64| -> Vec<f64> { steps.iter().map(|s| by(s) as f64).collect() };
+    let in_time = |s: &Step| s.in_time.iter().sum();
+    let across = ("seconds", STEP);
+    Ok(vec![
+        over(
+            "Delivered in time, by when it was wanted",
+            across,
+            "messages a step",
+            &[("this run", of(ours, in_time)), ("unharmed", of(twin, in_time))],
+        )?,
+        over(
+            "Asked of others",
+            across,
+            "a step",
+            &[
+                ("calls for the list", of(ours, |s| s.asks)),
+                ("connections to endpoints", of(ours, |s| s.connects)),
+            ],
+        )?,
+        over(
+            "Held",
+            across,
+            "messages",
+            &[("this run", of(ours, |s| s.held)), ("unharmed", of(twin, |s| s.held))],
+        )?,
     ])
 }
 
--- a/lab/src/report/mod.rs
+++ b/lab/src/report/mod.rs
@@ -4,6 +4,7 @@
 
 use crate::experiment::sweep::Done;
 use crate::experiment::{kept, Machine, Outcome};
+use crate::fleet::Step;
 use serde::{Deserialize, Serialize};
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
@@ -245,3 +246,7 @@
     let version = env!("CARGO_PKG_VERSION");
     template.render(minijinja::context! { runs, sweeps, baselines => all, version }).map_err(io::Error::other)
 }
+/// Charts of a fleet's return as SVG, beside its unharmed twin.
+pub fn fleet_charts(ours: &[Step], twin: &[Step]) -> io::Result<Vec<String>> {
+    charts::fleet(ours, twin).map_err(io::Error::other)
+}
--- a/lab/src/returns.rs
+++ b/lab/src/returns.rs
@@ -7,6 +7,7 @@
 use indigohold_lab::fleet::{self, Measures, Step};
 use indigohold_lab::policies::Policy;
 use indigohold_lab::record::Record;
+use indigohold_lab::report;
 use indigohold_lab::scenario::{library, Folder, Scenario};
 use indigohold_lab::sockets::{self, Scratch};
 use indigohold_lab::virtual_time;
@@ -166,6 +167,10 @@
     std::fs::write(folder.join("scenario.json"), json(&|| serde_json::to_string_pretty(scenario))?)
         .map_err(text)?;
     std::fs::write(folder.join("fleet.json"), json(&|| serde_json::to_string_pretty(run))?).map_err(text)?;
+    let charts = report::fleet_charts(&run.steps.0, &run.steps.1).map_err(text)?;
+    for (name, chart) in ["in-time", "asked", "held"].iter().zip(charts) {
+        std::fs::write(folder.join(format!("{name}.svg")), chart).map_err(text)?;
+    }
     std::fs::write(folder.join("steps.csv"), fleet::csv(&run.steps.0, &run.steps.1)).map_err(text)
 }
 
--- a/lab/src/rules/mod.rs
+++ b/lab/src/rules/mod.rs
@@ -61,6 +61,8 @@
     began: u32,
     /// Its last end, once it has one.
     delivered: bool,
+    /// When that was first so.
+    delivered_at: Option<Micros>,
     told: Option<bool>,
     effects: u32,
     /// Calls out, by whom and where.
@@ -195,7 +197,7 @@
             Fact::Began { msg, by, to, .. } => self.began(at, msg, by, to),
             Fact::Back { msg, by, to, ended } => self.back(at, msg, by, to, ended),
             Fact::Ran { msg, effect: true, .. } => self.ran(at, msg),
-            Fact::Told { msg, harmless, .. } => self.told(at, msg, harmless),
+            Fact::Told { msg, by, harmless } => self.told(at, msg, by, harmless),
             Fact::Listed { to, endpoint, state } => {
                 let listed = &mut self.instances.entry(to).or_default().listed;
                 match state {
@@ -237,8 +239,9 @@
         m.began += 1;
         m.out.push((by, to));
         let began = m.began;
-        // One whose answer was lost on its way is called again, and its caller can't know.
-        if holder != Some(by) && !(delivered && blurred.answers_lost) {
+        // One whose answer was lost on its way, or with the life that waited for it, is called again: its caller can't know.
+        let unknown = delivered && blurred.answers_lost || self.cannot_know(msg, by);
+        if holder != Some(by) && !unknown {
             self.breaks("taken first", at, Some(msg), format!("instance {by} calls and does not owe it"));
         }
         if out > 0 {
@@ -277,8 +280,10 @@
             Ended::Delivered => {
                 let (told, before) = (m.told, m.holder.take());
                 let again = std::mem::replace(&mut m.delivered, true);
+                m.delivered_at.get_or_insert(at);
                 // An answer that was lost is not known to the courier: it may repeat, and may have told an end.
-                if self.blurred.answers_lost && (again || told.is_some()) || self.blurred.clients_lost {
+                let lost = self.blurred.answers_lost && (again || told.is_some());
+                if lost || self.blurred.clients_lost || again && self.cannot_know(msg, by) {
                     return;
                 }
                 // Given up while its call was out: the client knows that it may have run.
@@ -297,6 +302,13 @@
         }
     }
 
+    /// A message was delivered to a life of this instance that has ended: the answer may have been on its way to it. What must
+    /// not be repeated is held to "twice" all the same.
+    fn cannot_know(&self, msg: MsgNo, by: Instance) -> bool {
+        let delivered = self.messages.get(&msg).and_then(|m| m.delivered_at);
+        delivered.zip(self.instances.get(&by)).is_some_and(|(at, seen)| seen.up_at > at)
+    }
+
     fn ran(&mut self, at: Micros, msg: MsgNo) {
         let m = self.message(msg);
         m.effects += 1;
@@ -307,12 +319,12 @@
         }
     }
 
-    fn told(&mut self, at: Micros, msg: MsgNo, harmless: bool) {
-        let blurred = self.blurred;
+    fn told(&mut self, at: Micros, msg: MsgNo, by: Instance, harmless: bool) {
+        let (blurred, unknown) = (self.blurred, self.cannot_know(msg, by));
         let m = self.message(msg);
         let (holder, before, delivered) = (m.holder.take(), m.told, m.delivered);
         m.told = Some(harmless);
-        if blurred.answers_lost && delivered || blurred.clients_lost {
+        if blurred.answers_lost && delivered || blurred.clients_lost || unknown {
             return;
         }
         let (effects, class) = (m.effects, usize::from(m.class));
--- a/lab/tests/engine.rs
+++ b/lab/tests/engine.rs
@@ -3,8 +3,10 @@
 
 use indigohold_lab::experiment::{one, parallel, Outcome};
 use indigohold_lab::policies::Policy;
+use indigohold_lab::record::Fact;
 use indigohold_lab::scenario::{library, Scenario};
 use indigohold_lab::virtual_time::Run;
+use indigohold_lab::{fleet, report, rules};
 
 fn scenario(name: &str) -> Scenario {
     Scenario::read(library::text(name).unwrap().as_bytes()).unwrap()
@@ -87,3 +89,24 @@
         assert_eq!(o.figures.doubles, 0, "seed {seed}: {:#?}", o.broken);
     }
 }
+
+/// A register that answers in turn, and turns away who has waited: a whole fleet that starts at once is not answered at once,
+/// comes again spread out, and all have the list in the end.
+#[test]
+fn a_register_that_serves_in_turn_is_not_overrun() {
+    let text = r#"{"seconds":14,"courier":{"instances":30},"clients":{"rate":30},"destinations":{"count":3},
+        "registry":{"serves_ms":60,"waits_ms":200},"kills":[{"at_s":8,"count":21,"away_s":0.5}]}"#;
+    let scenario = Scenario::read(text.as_bytes()).unwrap();
+    let (record, _) = Run::new(&scenario, Policy::Indigohold, 1).to_end();
+    let asked = |answered: bool| {
+        let is = move |f: &Fact| matches!(f, Fact::Asked { answered: a, .. } if *a == answered);
+        record.facts.iter().filter(|(_, f)| is(f)).count()
+    };
+    assert!(asked(false) > 0, "nobody was turned away: the test shows nothing");
+    assert!(asked(true) >= 30 + 21, "{} have the list", asked(true));
+    let broken = rules::check(&record, &scenario);
+    assert!(broken.is_empty(), "{broken:#?}");
+    let steps = fleet::steps(&record, &scenario);
+    let charts = report::fleet_charts(&steps, &steps).unwrap();
+    assert!(charts.len() == 3 && charts.iter().all(|c| c.starts_with("<svg")));
+}
--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -92,3 +92,22 @@
     let f = &outcome.figures;
     assert!(f.delivered * 10 >= f.wanted * 9, "{} of {}", f.delivered, f.wanted);
 }
+
+/// Answers that come after their messages' time is up, and after the lives that asked have ended: nobody is told twice, nothing
+/// that may have run is called again unless that does no harm.
+#[test]
+fn answers_later_than_the_message_and_the_life_do_no_harm() {
+    let text = r#"{"seconds":6,"courier":{"instances":4},"clients":{"rate":40},
+        "classes":[{"name":"update","effect":"safe","aim_ms":500,"deadline_ms":2000},
+            {"name":"print-order","effect":"unsafe","aim_ms":500,"deadline_ms":2000}],
+        "destinations":{"count":2,"endpoints":[1,1],"skew":0},
+        "kills":[{"at_s":2.5,"count":4,"away_s":0.3}],
+        "links":[{"name":"late","links":"c*>e*","what":"delay","ms":2600,"way":"down","from_s":1,"to_s":2.2}]}"#;
+    let (_, record, outcome, found) = play(text);
+    assert!(outcome.broken.is_empty(), "{:#?}", outcome.broken);
+    assert!(found.findings.is_empty(), "{:#?}", found.findings);
+    assert!(met(&found).contains("late"));
+    let told = record.facts.iter().filter(|(_, f)| matches!(f, Fact::Told { harmless: false, .. })).count();
+    assert!(told > 10, "print orders whose answers were late have ended as failed: {told}");
+    assert_eq!(outcome.figures.doubles, 0);
+}
--- a/lab/tests/rules.rs
+++ b/lab/tests/rules.rs
@@ -287,3 +287,31 @@
         assert!(text.contains(&format!("[\"{rule}\"]")), "{rule}");
     }
 }
+
+/// An answer that was on its way when its life was killed is not known to the next life: it may repeat what may be repeated.
+#[test]
+fn a_life_can_t_know_what_the_one_before_did_not_read() {
+    let day = |class: u16, repeats: bool| {
+        let mut day = vec![
+            (0, wanted(1, class)),
+            (1, taken(1)),
+            (2, began(1)),
+            (5, ran(1)),
+            (6, back(1, Ended::Delivered)),
+            (7, Fact::Down(1, false)),
+            (500, Fact::Up(1)),
+        ];
+        match repeats {
+            true => day.extend([(600, began(1)), (610, ran(1)), (611, back(1, Ended::Delivered))]),
+            false => day.push((600, told(1, false))),
+        }
+        broken(&day)
+    };
+    assert_eq!(day(SAFE, true), [] as [&str; 0]);
+    assert_eq!(day(UNSAFE, false), [] as [&str; 0], "it may have run: its client is told so");
+    assert_eq!(day(UNSAFE, true), ["twice"]);
+    // The same life has read it.
+    let same =
+        [(0, wanted(1, SAFE)), (1, taken(1)), (2, began(1)), (5, back(1, Ended::Delivered)), (9, began(1))];
+    assert_eq!(broken(&same), ["taken first"]);
+}
