Lab and relay: no instance outlives its run, no port is shared with a stranger

Cause: sixty instances of a lab that had been ended by a signal lived on and dialled the ports of its run, which others had by then. Ruled out on the way, and mended all the same: the socket that keeps a refusing link's port let any other bind to it (reuse was on for good). Change: SIGINT and SIGTERM end the lab's run by an error, so its instances end with it; the relay lets its port be shared for the calls that bind and listen only.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -233,7 +233,8 @@
 }
 
 fn main() -> ExitCode {
-    match run(Cli::parse().command) {
+    let listens = indigohold_lab::sockets::end_on_signals().map_err(|e| e.to_string());
+    match listens.and_then(|()| run(Cli::parse().command)) {
         Ok(code) => code,
         Err(words) => {
             eprintln!("lab: {words}");
--- a/lab/src/sockets/mod.rs
+++ b/lab/src/sockets/mod.rs
@@ -24,10 +24,13 @@
 use process::{Fleet, Said};
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
+use signal_hook::consts::{SIGINT, SIGTERM};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use wire::{Asked, Incoming};
 
@@ -154,6 +157,19 @@
     LinkName::new(format!("c{of}"), format!("e{at}"))
 }
 
+static ENDED: OnceLock<Arc<AtomicBool>> = OnceLock::new();
+
+/// From now on SIGINT and SIGTERM end a run by an error instead of ending this process at once, a second one ends it. Danger:
+/// instances that outlive their run go on dialling its ports, which belong to another by then.
+pub fn end_on_signals() -> io::Result<()> {
+    let ended = ENDED.get_or_init(Arc::default);
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::flag::register_conditional_shutdown(signal, 1, ended.clone())?;
+        signal_hook::flag::register(signal, ended.clone())?;
+    }
+    Ok(())
+}
+
 /// Runs a scenario against the program; files go into `folder`.
 pub fn run(scenario: &Scenario, seed: u64, program: &Path, folder: &Path) -> io::Result<(Record, Found)> {
     let streams = Streams::new(seed);
@@ -328,6 +344,9 @@
     /// One turn of the loop: what has come, what is due, what the world does.
     fn turn(&mut self) -> io::Result<()> {
         self.found.steps += 1;
+        if ENDED.get().is_some_and(|ended| ended.load(Ordering::SeqCst)) {
+            return Err(io::Error::other("it was told to end"));
+        }
         let now = self.now();
         let coming = self.coming.map(|w| self.began + w.at);
         let next = [self.due.first().map(|d| d.0), self.world.next_at(), coming].into_iter().flatten().min();
@@ -500,7 +519,8 @@
     fn called(&mut self, token: usize, of: Instance, at: EndpointNo, asked: &Asked) {
         let msg = wire::number_of(&asked.id);
         let Some(class) = self.messages.get(msg as usize).map(|m| m.wanted.class) else {
-            self.found.findings.push(format!("a call with an id that nobody handed in: {}", asked.id));
+            let words = format!("a call with an id that nobody handed in: {:?} to {}", asked.id, asked.path);
+            self.found.findings.push(words);
             self.write(token, b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
             return;
         };
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -166,7 +166,7 @@
     target: SocketAddr,
     listener: Option<TcpListener>,
     /// Keeps the port while nobody listens on it.
-    _keeps: Socket,
+    keeps: Socket,
     next: u64,
 }
 
@@ -333,11 +333,10 @@
             return Err(io::Error::other(format!("there is a link {name} already")));
         }
         let keeps = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-        keeps.set_reuse_address(true)?;
         keeps.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
         let addr = keeps.local_addr()?.as_socket().ok_or_else(|| io::Error::other("no address"))?;
         let n = self.links.len();
-        self.links.push(Link { name: name.clone(), addr, target, listener: None, _keeps: keeps, next: 0 });
+        self.links.push(Link { name: name.clone(), addr, target, listener: None, keeps, next: 0 });
         self.by_name.insert(name, n);
         self.listeners();
         Ok(addr)
@@ -360,7 +359,7 @@
             if refused {
                 link.listener = None;
             } else if link.listener.is_none() {
-                match listen(link.addr) {
+                match listen(link.addr, &link.keeps) {
                     Ok(mut listener) => {
                         let token = token(n, Side::Listener);
                         let added = self.poll.registry().register(&mut listener, token, Interest::READABLE);
@@ -632,12 +631,16 @@
     }
 }
 
-fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+/// Listens at an address that another socket keeps. Danger: while both may share it, so may any other socket of the machine
+/// that asks for a free port, and a link would lead to a stranger; so that is allowed for these few calls only.
+fn listen(addr: SocketAddr, keeps: &Socket) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
-    socket.bind(&addr.into())?;
-    socket.listen(BACKLOG)?;
+    keeps.set_reuse_address(true)?;
+    let listens = socket.bind(&addr.into()).and_then(|()| socket.listen(BACKLOG));
+    keeps.set_reuse_address(false)?;
+    listens?;
     Ok(TcpListener::from_std(socket.into()))
 }
 
