--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -59,8 +59,8 @@
     std::fs::create_dir_all(&base).unwrap();
     std::fs::write(base.join("baselines.json"), serde_json::to_string(&rows).unwrap()).unwrap();
     let html = report::html(&[run, sweep_at, base]).unwrap();
-    assert_eq!(html.matches("<svg").count(), 3 + 2 + 2);
-    assert_eq!(html.matches("</svg>").count(), 7);
+    assert_eq!(html.matches("<svg").count(), 4 + 2 + 2);
+    assert_eq!(html.matches("</svg>").count(), 8);
     for words in ["clients.load=1.5 policy=jitter", "keyed-order", "virtual engine", "class=\"ours\""] {
         assert!(html.contains(words), "{words}");
     }
