Says that it was told to end once it holds, not before

Cause: daemon.rs wrote the line, then called courier.stop; a wish that came in between was taken by a process that was about to end (and kept in its state for the next life). Ruled out: the refusal itself (core/draining.rs asks for stop_at under the lock). The line now comes second; the test that failed is the test for it.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -225,8 +225,10 @@
                 }
             } else if stopping.is_none() {
                 stopping = Some(now);
-                tracing::info!(target: "daemon", "told to end; {} messages are owed", courier.owed());
+                // Stopped before it is said: who reads the line and asks for a drain is told that it ends.
+                let owed = courier.owed();
                 courier.stop(now + EXIT);
+                tracing::info!(target: "daemon", "told to end; {owed} messages are owed");
             }
         }
         if let Some(since) = stopping.map(|at| now - at) {
