A told wait outlives the process that heard it

Cause: told waits lived in memory (core/mod.rs, waits; choice.rs, wait_until) and in no file, so the next life on the same folder called at once.

--- a/src/api.rs
+++ b/src/api.rs
@@ -464,6 +464,8 @@
     fn may_begin(&self, now: Micros, message: MessageId, id: EndpointId) -> bool;
     /// Until when a destination has told to wait; 0: it has not.
     fn told_wait(&self, destination: DestinationId) -> Micros;
+    /// A former life was told to wait until then; before anything else has happened.
+    fn told_before(&mut self, _destination: DestinationId, _until: Micros) {}
     /// Whether the module keeps away from this endpoint now, as it found it to be out. For overviews.
     fn avoids(&self, _id: EndpointId) -> bool {
         false
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// A wait that a former life was told.
+    pub(crate) fn told_before(&mut self, destination: DestinationId, until: Micros) {
+        let route = self.routes.entry((destination, None)).or_default();
+        route.wait_until = route.wait_until.max(until);
+    }
+
     /// A call of the process before holds a slot, and its endpoint, until its outcome comes.
     pub(crate) fn still_out(&mut self, id: MessageId, at: EndpointId, sent: Micros) {
         let Some(held) = self.held.get_mut(&id) else { return };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,10 +6,12 @@
 pub mod draining;
 pub mod handover;
 mod orders;
+pub mod remember;
 
 use crate::admin::figures::{Board, Ended, Figures};
 use crate::admin::hand::Hand;
 use crate::api::{Listed as ModuleListed, *};
+use crate::comeback::memory::Waits;
 use crate::register::kept::Edition;
 use crate::register::phase::Phase;
 use crate::register::trust::{CallEnd, Heard};
@@ -21,6 +23,7 @@
 use draining::Draining;
 use handover::{Mode, Passed};
 pub use orders::*;
+use remember::Remembers;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
@@ -86,6 +89,8 @@
     pub hand: Option<Arc<Hand>>,
     /// What the process passed that served until now.
     pub passed: Option<Passed>,
+    /// Where what the next life must know is written down; `None`: nowhere.
+    pub memory: Option<PathBuf>,
 }
 
 /// A fetch that is over.
@@ -162,7 +167,8 @@
     mode: Mode,
     /// Until when a destination is to be left alone by answers that are not read to their end yet. The module hears of a
     /// wait with the whole answer; by then this is over or repeats it.
-    waits: HashMap<(u8, u16), Micros>,
+    waits: Waits,
+    remembers: Remembers,
     /// Calls that the process before carries out to their end.
     away: BTreeMap<u64, Fetch>,
     hand: Option<Arc<Hand>>,
@@ -376,7 +382,8 @@
             in_line: BTreeMap::new(),
             draining,
             mode: Mode::Decides,
-            waits: HashMap::new(),
+            waits: Waits::new(),
+            remembers: Remembers::new(options.memory),
             away: BTreeMap::new(),
             hand: options.hand,
             hand_seen: 0,
@@ -389,6 +396,7 @@
         core.look_at_hand(now);
         let mut passed = options.passed;
         passed.iter_mut().for_each(|passed| core.go_on_with(passed));
+        core.recall(now);
         core.resume(now, passed.as_ref());
         core.strike(now, true);
         (core, orders)
@@ -423,6 +431,7 @@
         if self.draining.next_at().is_some_and(|at| at <= now) {
             self.strike(now, false);
         }
+        self.remember(now);
         if self.alarm_at.is_some_and(|at| at <= now) {
             self.alarm_at = None;
             self.feed(now, &[Event::Elapsed(TimerToken(0))], &mut []);
@@ -503,9 +512,8 @@
             }
             Report::Begin(fetch) => return Answer::Go(self.begin(now, &fetch)),
             Report::Wait { front, dest, wait } => {
-                self.waits.retain(|_, until| *until > now);
-                let until = self.waits.entry((front, dest)).or_default();
-                *until = (*until).max(now + wait);
+                self.heard_wait(now, front, dest, wait);
+                self.remember(now);
             }
             Report::Done { fetch, end, latency, load, said } => {
                 self.done(now, vec![Over { fetch, end, latency, load, said }]);
@@ -701,6 +709,7 @@
         let written = self.journal.written();
         written.unwrap_or_else(|e| self.broken(e));
         rejected.into_iter().for_each(|msg| self.verdict(msg, Verdict::GivenUp, &mut []));
+        self.remember(now);
         if !events.is_empty() {
             self.feed(now, &events, &mut []);
         }
@@ -711,6 +720,10 @@
         if let Some(held) = self.msgs.get_mut(&fetch.msg) {
             held.out = false;
         }
+        if let End::TurnedAway(Some(wait)) | End::Spoilt(Some(wait)) = end {
+            // Known from the head of the answer on, where its front tells of that.
+            self.heard_wait(now, fetch.req.front, fetch.req.dest, wait);
+        }
         let mut more = Vec::new();
         let heard = self.trust(now, &fetch, end.for_trust(), &mut more);
         if end == End::Unsent && self.stop_at.is_some_and(|at| now + LAST_BEGIN >= at) {
--- /dev/null
+++ b/src/core/remember.rs
@@ -0,0 +1,73 @@
+//! What a life writes down for the next one beside the journal, and what the next one makes of it.
+
+use super::Core;
+use crate::api::{DestinationId, Micros};
+use crate::comeback::memory::{Beat, Memory, Waits};
+use crate::store::sealed::Sealed;
+use std::path::{Path, PathBuf};
+
+const FILE: Sealed = Sealed { name: "memory", magic: "indigohold-memory", version: 1 };
+/// Room for that file in the folder that lasts, the one before and the one being written counted.
+pub const ROOM: u64 = 256 * 1024;
+
+/// The file and when to write it.
+#[derive(Default)]
+pub(super) struct Remembers {
+    dir: Option<PathBuf>,
+    beat: Beat,
+    /// It could not be written, and that was said.
+    fails: bool,
+}
+
+impl Remembers {
+    pub(super) fn new(dir: Option<PathBuf>) -> Remembers {
+        Remembers { dir, ..Remembers::default() }
+    }
+}
+
+/// What the folder remembers, as far as it is believed now.
+fn read(dir: &Path, now: Micros) -> Waits {
+    let (memory, said) = FILE.read(dir, Memory::read);
+    said.iter().for_each(|line| tracing::warn!(target: "comeback", "{line}"));
+    let memory = memory.unwrap_or_default();
+    let waits = memory.waits_at(now);
+    if !waits.is_empty() {
+        let set_back = memory.written_at > now;
+        tracing::info!(target: "comeback", waits = waits.len(), set_back, "waits of an earlier life hold on");
+    }
+    waits
+}
+
+impl Core {
+    /// Goes on with what an earlier life wrote down.
+    pub(super) fn recall(&mut self, now: Micros) {
+        let Some(dir) = &self.remembers.dir else { return };
+        self.waits = read(dir, now);
+        for ((_, dest), until) in &self.waits {
+            self.sender.told_before(DestinationId(*dest), *until);
+        }
+    }
+
+    /// A partner has told to wait.
+    pub(super) fn heard_wait(&mut self, now: Micros, front: u8, dest: u16, wait: Micros) {
+        self.waits.retain(|_, until| *until > now);
+        let until = self.waits.entry((front, dest)).or_default();
+        self.remembers.beat.told(now, *until, now + wait);
+        *until = (*until).max(now + wait);
+    }
+
+    /// Danger: a process that is killed behind this must not call in its next life before the wait is over; so it is
+    /// written before anything that follows from the answer.
+    pub(super) fn remember(&mut self, now: Micros) {
+        let Some(dir) = self.remembers.dir.as_deref().filter(|_| self.remembers.beat.due(now)) else {
+            return;
+        };
+        let written = FILE.write(dir, &FILE.seal(&Memory::of(now, &self.waits).bytes()));
+        self.remembers.beat.written(now, written.is_ok());
+        let failed = written.as_ref().err();
+        if let (Some(e), false) = (failed, self.remembers.fails) {
+            tracing::warn!(target: "comeback", "told waits can't be written down, and hold in this life only: {e}");
+        }
+        self.remembers.fails = failed.is_some();
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,7 +4,7 @@
 use crate::admission;
 use crate::config::{Config, Paths};
 use crate::control::{self, shape::Words};
-use crate::core::{draining, Clock, Courier, Options, Report, Source, Word};
+use crate::core::{draining, remember as memory, Clock, Courier, Options, Report, Source, Word};
 use crate::net::{self, mail, platform};
 use crate::register::config as register;
 use crate::register::fixed::Fixed;
@@ -83,7 +83,7 @@
         (sessions, ends) = (taken.sessions, Some(taken.ends));
     }
     let for_hand = if door_at.is_some() { hand::ROOM } else { 0 };
-    let room = disk.saturating_sub(zones + for_copy + for_drains + for_hand + owner::ROOM);
+    let room = disk.saturating_sub(zones + for_copy + for_drains + for_hand + owner::ROOM + memory::ROOM);
     let journal =
         Journal::open_as(&state, room, clock.now(), owner.claim.incarnation).map_err(|e| in_state(&e))?;
     tell_damages(&journal);
@@ -95,6 +95,7 @@
         passed,
         register: reg.rules.clone(),
         drains: control.is_some().then(|| state.clone()),
+        memory: Some(state.clone()),
         own_class: mail_config.as_ref().map(|m| m.bounce_class),
     };
     let mut classes = names.classes.clone();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod checked;
 mod choice;
 pub mod cli;
+pub mod comeback;
 pub mod config;
 pub mod control;
 pub mod core;
--- a/src/state.rs
+++ b/src/state.rs
@@ -442,6 +442,10 @@
         Sender::told_wait(self, destination)
     }
 
+    fn told_before(&mut self, destination: DestinationId, until: Micros) {
+        Sender::told_before(self, destination, until);
+    }
+
     fn avoids(&self, id: EndpointId) -> bool {
         let out = |e: &Endpoint| matches!(e.health, Health::Out { .. } | Health::HalfOpen);
         self.endpoints.get(&id).is_some_and(out)
--- /dev/null
+++ b/tests/comeback.rs
@@ -0,0 +1,92 @@
+//! Most of several processes are killed at once and come back on their folders. Stand-ins keep the time of what they tell and
+//! of what reaches them.
+
+mod support;
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use support::crowd::*;
+use support::*;
+
+const WAIT: Duration = Duration::from_millis(6000);
+
+/// A partner that turns its first call away with a wait, and takes the others.
+#[derive(Default)]
+struct Book {
+    told: Option<Instant>,
+    calls: Vec<Instant>,
+}
+
+fn partner(book: &Arc<Mutex<Book>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let book = book.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let book = book.clone();
+            thread::spawn(move || {
+                let mut writer = stream.try_clone().unwrap();
+                let mut reader = BufReader::new(stream);
+                while read_http(&mut reader).is_some() {
+                    let mut book = book.lock().unwrap();
+                    book.calls.push(Instant::now());
+                    let text = match book.calls.len() {
+                        1 => "HTTP/1.1 429 Later\r\nX-RateLimit-Wait-Ms: 6000\r\nContent-Length: 0\r\n\r\n",
+                        _ => "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                    };
+                    let _ = writer.write_all(text.as_bytes());
+                    book.told.get_or_insert_with(Instant::now);
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Four are told to wait; two are then killed, one ends by SIGTERM, one goes on. All are asked to deliver at once again:
+/// nothing goes to the partner before the wait is over, and everything soon after it.
+#[test]
+fn a_told_wait_outlives_its_process() {
+    let fleet: Vec<_> = (0..4)
+        .map(|_| {
+            let (mut site, book) = (site(256, 64), Arc::<Mutex<Book>>::default());
+            site.list(&[instance("s-0", partner(&book), 3, "up").replace("50.0", "50000.0")]);
+            (site, book)
+        })
+        .collect();
+    let mut programs: Vec<_> = fleet.iter().map(|(site, _)| site.start()).collect();
+    for (_, addr) in &programs {
+        assert_eq!(send(&mut connect(*addr), "m0"), Seen::Status(202));
+    }
+    for (n, (_, book)) in fleet.iter().enumerate() {
+        until(&format!("the wait of {n}"), || book.lock().unwrap().told.is_some());
+    }
+    // An answer that is still in its socket tells nobody anything: the wait is heard and kept within this.
+    thread::sleep(Duration::from_millis(200));
+    let last = programs.pop().unwrap();
+    let (mut ends, _) = programs.remove(0);
+    ends.signal("TERM");
+    programs.drain(..).for_each(|(program, _)| program.kill());
+    let killed: Vec<_> = fleet[1..3].iter().map(|(site, _)| site.start()).collect();
+    assert!(ends.child.wait().unwrap().success());
+    let mut back = vec![fleet[0].0.start()];
+    back.extend(killed);
+    back.push(last);
+    for (n, (_, addr)) in back.iter().enumerate() {
+        let told = fleet[n].1.lock().unwrap().told.unwrap();
+        assert!(told.elapsed() < WAIT, "this machine took so long that the wait is over");
+        assert_eq!(send(&mut connect(*addr), "m1"), Seen::Status(202));
+    }
+    for (n, (_, book)) in fleet.iter().enumerate() {
+        until(&format!("both deliveries of {n}"), || book.lock().unwrap().calls.len() >= 3);
+        let book = book.lock().unwrap();
+        let after: Vec<Duration> = book.calls[1..].iter().map(|at| *at - book.told.unwrap()).collect();
+        assert!(
+            after.iter().all(|d| *d >= WAIT),
+            "courier {n} called {after:?} after a wait of 6 s was told"
+        );
+    }
+}
