A life begins by what the former one was asked, not all at once

With 95 % of 40 killed, what piled up in half a second of absence goes out in the first second: 423 calls where 320 are asked, 39 turned away, and whoever was turned away is slow for seconds.

Cause: a new life's pace is unbounded until refused (choice.rs, Pace), and all lives begin together.

A process that takes over in an upgrade begins as before.

Measured: tests/comeback.rs, six processes, five killed, thirty messages piled up at each: in 0.1 s without, over a second with it.

--- a/src/api.rs
+++ b/src/api.rs
@@ -466,6 +466,12 @@
     fn told_wait(&self, destination: DestinationId) -> Micros;
     /// A former life was told to wait until then; before anything else has happened.
     fn told_before(&mut self, _destination: DestinationId, _until: Micros) {}
+    /// The pace of the first calls to a destination whose limit nobody tells; before anything else has happened.
+    fn first_pace(&mut self, _destination: DestinationId, _per_s: f64) {}
+    /// What was handed in lately by destination, in messages a second.
+    fn demand(&self, _now: Micros) -> Vec<(DestinationId, f64)> {
+        Vec::new()
+    }
     /// Whether the module keeps away from this endpoint now, as it found it to be out. For overviews.
     fn avoids(&self, _id: EndpointId) -> bool {
         false
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -1,7 +1,8 @@
 //! What a sender passes on to the process that goes on in its place, beside the messages and the list: what it has learnt
 //! of destinations and endpoints, told waits, paces and budgets. It decides nothing; endpoints keep their ids.
 
-use crate::api::{DestinationId, EndpointId, KindId, MessageId, Micros};
+use crate::api::{DestinationId, EndpointId, KindId, MessageId, Micros, Weights};
+use crate::choice::DEPOSIT_LIFE;
 use crate::state::{Call, Destination, Endpoint, Health, Out, Reserve, Route, RouteId, Sender};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -66,6 +67,19 @@
         route.wait_until = route.wait_until.max(until);
     }
 
+    /// A life that begins goes on from here. Where limits are told, by list or by report, they say it better.
+    pub(crate) fn first_pace(&mut self, destination: DestinationId, per_s: f64) {
+        if self.set.report_limit.is_none() && self.set.weights == Weights::Off {
+            self.routes.entry((destination, None)).or_default().pace.rate.get_or_insert(per_s);
+        }
+    }
+
+    pub(crate) fn demand(&self, now: Micros) -> Vec<(DestinationId, f64)> {
+        let lately = |d: &Destination| d.asked.iter().filter(|at| **at + DEPOSIT_LIFE >= now).count();
+        let all = self.destinations.iter().map(|(id, d)| (*id, lately(d) as f64 / DEPOSIT_LIFE.secs()));
+        all.filter(|(_, per_s)| *per_s > 0.0).collect()
+    }
+
     /// A call of the process before holds a slot, and its endpoint, until its outcome comes.
     pub(crate) fn still_out(&mut self, id: MessageId, at: EndpointId, sent: Micros) {
         let Some(held) = self.held.get_mut(&id) else { return };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -396,7 +396,7 @@
         core.look_at_hand(now);
         let mut passed = options.passed;
         passed.iter_mut().for_each(|passed| core.go_on_with(passed));
-        core.recall(now);
+        core.recall(now, passed.is_some());
         core.resume(now, passed.as_ref());
         core.strike(now, true);
         (core, orders)
--- a/src/core/remember.rs
+++ b/src/core/remember.rs
@@ -2,7 +2,7 @@
 
 use super::Core;
 use crate::api::{DestinationId, Micros};
-use crate::comeback::memory::{Beat, Memory, Waits};
+use crate::comeback::memory::{demand_of, first_pace, Beat, Demand, Memory, Waits};
 use crate::store::sealed::Sealed;
 use std::path::{Path, PathBuf};
 
@@ -15,6 +15,11 @@
 pub(super) struct Remembers {
     dir: Option<PathBuf>,
     beat: Beat,
+    /// Since when this life is, and with which demand it began.
+    began_at: Micros,
+    began_with: Demand,
+    /// No demand is in the file; nothing need be written again where nothing is asked.
+    idle: bool,
     /// It could not be written, and that was said.
     fails: bool,
 }
@@ -26,7 +31,7 @@
 }
 
 /// What the folder remembers, as far as it is believed now.
-fn read(dir: &Path, now: Micros) -> Waits {
+fn read(dir: &Path, now: Micros) -> (Waits, Demand) {
     let (memory, said) = FILE.read(dir, Memory::read);
     said.iter().for_each(|line| tracing::warn!(target: "comeback", "{line}"));
     let memory = memory.unwrap_or_default();
@@ -35,14 +40,26 @@
         let set_back = memory.written_at > now;
         tracing::info!(target: "comeback", waits = waits.len(), set_back, "waits of an earlier life hold on");
     }
-    waits
+    (waits, memory.demand_at(now))
 }
 
 impl Core {
     /// Goes on with what an earlier life wrote down.
-    pub(super) fn recall(&mut self, now: Micros) {
+    pub(super) fn recall(&mut self, now: Micros, taken_over: bool) {
+        self.remembers.began_at = now;
+        self.remembers.idle = true;
         let Some(dir) = &self.remembers.dir else { return };
-        self.waits = read(dir, now);
+        (self.waits, self.remembers.began_with) = read(dir, now);
+        // Danger: who takes over from a process that serves was not away, and knows its paces.
+        let demand = self.remembers.began_with.iter().filter(|_| !taken_over);
+        let mut paced = 0;
+        for (dest, per_s) in demand {
+            self.sender.first_pace(DestinationId(*dest), first_pace(*per_s));
+            paced += 1;
+        }
+        if paced > 0 {
+            tracing::info!(target: "comeback", destinations = paced, "begins by the demand of an earlier life");
+        }
         for ((_, dest), until) in &self.waits {
             self.sender.told_before(DestinationId(*dest), *until);
         }
@@ -62,7 +79,15 @@
         let Some(dir) = self.remembers.dir.as_deref().filter(|_| self.remembers.beat.due(now)) else {
             return;
         };
-        let written = FILE.write(dir, &FILE.seal(&Memory::of(now, &self.waits).bytes()));
+        let seen: Demand = self.sender.demand(now).into_iter().map(|(d, per_s)| (d.0, per_s)).collect();
+        let demand = demand_of(now - self.remembers.began_at, seen, &self.remembers.began_with);
+        let memory = Memory::of(now, &self.waits, demand);
+        let idle = memory.waits.is_empty() && memory.demand.is_empty();
+        if idle && self.remembers.idle {
+            return self.remembers.beat.written(now, true);
+        }
+        self.remembers.idle = idle;
+        let written = FILE.write(dir, &FILE.seal(&memory.bytes()));
         self.remembers.beat.written(now, written.is_ok());
         let failed = written.as_ref().err();
         if let (Some(e), false) = (failed, self.remembers.fails) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -449,6 +449,14 @@
         Sender::told_before(self, destination, until);
     }
 
+    fn first_pace(&mut self, destination: DestinationId, per_s: f64) {
+        Sender::first_pace(self, destination, per_s);
+    }
+
+    fn demand(&self, now: Micros) -> Vec<(DestinationId, f64)> {
+        Sender::demand(self, now)
+    }
+
     fn avoids(&self, id: EndpointId) -> bool {
         let out = |e: &Endpoint| matches!(e.health, Health::Out { .. } | Health::HalfOpen);
         self.endpoints.get(&id).is_some_and(out)
--- a/tests/comeback.rs
+++ b/tests/comeback.rs
@@ -90,3 +90,50 @@
         );
     }
 }
+
+/// Six share a partner and are asked five messages a second each; five are killed at once, and thirty messages for each have
+/// piled up at its clients. They go out by what the former life was asked, not all in the first second; who was not away, and
+/// one whose folder is lost, know nothing of that and send at once. All of them are delivered.
+#[test]
+fn what_piled_up_goes_out_by_the_demand_of_the_former_life() {
+    let mut fleet: Vec<Site> = (0..6).map(|_| site(256, 64)).collect();
+    let partner = fleet[0].endpoint.addr;
+    for site in &mut fleet {
+        site.list(&[instance("s-0", partner, 3, "up")]);
+        // Nobody tells a limit.
+        site.config["settings"]["weights"] = "off".into();
+        site.config["settings"]["loadReport"]["names"] = serde_json::json!([]);
+    }
+    let mut programs: Vec<_> = fleet.iter().map(Site::start).collect();
+    let mut clients: Vec<_> = programs.iter().map(|(_, addr)| connect(*addr)).collect();
+    let began = Instant::now();
+    for n in 0..20 {
+        thread::sleep((began + n * Duration::from_millis(200)).saturating_duration_since(Instant::now()));
+        for (c, client) in clients.iter_mut().enumerate() {
+            assert_eq!(send(client, &format!("a{c}-{n}")), Seen::Status(202));
+        }
+    }
+    let delivered = |prefix: &str| {
+        let calls = fleet[0].endpoint.calls.lock().unwrap();
+        calls.iter().filter(|c| c.header("req-id").unwrap().starts_with(prefix)).count()
+    };
+    until("the first deliveries", || delivered("a") == 120);
+    thread::sleep(Duration::from_millis(1200));
+    programs.drain(1..).for_each(|(program, _)| program.kill());
+    std::fs::remove_dir_all(fleet[5].folder.0.join("state")).unwrap();
+    let back: Vec<_> = fleet[1..].iter().map(Site::start).collect();
+    let addrs: Vec<SocketAddr> = programs.iter().chain(&back).map(|(_, addr)| *addr).collect();
+    let handed_in = Instant::now();
+    for (c, addr) in addrs.iter().enumerate() {
+        let mut client = connect(*addr);
+        for n in 0..30 {
+            assert_eq!(send(&mut client, &format!("b{c}-{n}")), Seen::Status(202));
+        }
+    }
+    let soon = |c: usize| delivered(&format!("b{c}-"));
+    until("those that send at once", || soon(0) == 30 && soon(5) == 30);
+    until("all of them", || delivered("b") == 180);
+    // From 7.5 a second on, and growing. A machine that is busy makes it longer, never shorter.
+    let took = handed_in.elapsed();
+    assert!(took >= Duration::from_millis(1000), "thirty each for four went out within {took:?}");
+}
