--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -455,9 +455,11 @@
         );
     }
     // More sessions than there are places: those in excess are told so.
-    let open: Vec<UnixStream> = (0..8).map(|_| UnixStream::connect(site.socket()).unwrap()).collect();
+    // Those from above may hold places until their ends are seen, and cost some of these theirs; so others follow.
+    let mut open: Vec<UnixStream> = (0..8).map(|_| UnixStream::connect(site.socket()).unwrap()).collect();
     let mut busy = false;
     until("a refusal", || {
+        open.push(UnixStream::connect(site.socket()).unwrap());
         busy |= matches!(site.client().status(), Err(Failed::Problem(p)) if p.word() == "busy");
         busy
     });
