--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -261,7 +261,8 @@
             }
             conns.iter().for_each(|c| c.sweep());
             if let Some(keeper) = &mut keeper {
-                keep_list(&courier, keeper, disk.saturating_sub(zones + for_drains + for_hand));
+                let others = zones + for_drains + for_hand + memory::ROOM;
+                keep_list(&courier, keeper, disk.saturating_sub(others));
             }
             if let Some(word) = fixed.as_mut().and_then(|f: &mut Fixed| f.look(courier.clock.now())) {
                 courier.report(Report::List { front: platform::FRONT, word });
