--- a/src/api/events.rs
+++ b/src/api/events.rs
@@ -71,6 +71,8 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// Never begun, for a reason of the courier's own: it counts as no attempt.
+    NotBegun,
 }
 
 /// What a sender is told.
--- a/src/core/carrying.rs
+++ b/src/core/carrying.rs
@@ -18,9 +18,9 @@
                     tries.push(Try { msg: id.0, at: endpoint, cap: timeout })
                 }
                 Action::Decline { id, stay_away } => {
-                    self.verdict(id.0, Verdict::HandedBack(stay_away), asking);
+                    self.verdict(now, id.0, Verdict::HandedBack(stay_away), asking);
                 }
-                Action::Fail(id) => self.verdict(id.0, Verdict::GivenUp, asking),
+                Action::Fail(id) => self.verdict(now, id.0, Verdict::GivenUp, asking),
                 Action::CallOff { id, attempt } => match self.leave_line(id.0) {
                     Some(event) => never_sent.push(event),
                     None => self.order(Order::Cancel { msg: id.0, attempt }),
@@ -56,7 +56,7 @@
                 continue;
             };
             let (attempt, backend, req) = (held.tries, backend.clone(), held.req.clone());
-            held.tries += 1;
+            held.tries = held.tries.wrapping_add(1);
             held.out = true;
             let until = now;
             let goes = self.register.book(req.front, now).call(now, &backend.name, msg);
@@ -106,7 +106,9 @@
         }
     }
 
-    pub(super) fn verdict(&mut self, msg: u64, verdict: Verdict, asking: &mut [(u64, Option<Verdict>)]) {
+    pub(super) fn verdict(
+        &mut self, now: Micros, msg: u64, verdict: Verdict, asking: &mut [(u64, Option<Verdict>)],
+    ) {
         if let Some((_, answer)) = asking.iter_mut().find(|(id, _)| *id == msg) {
             *answer = Some(verdict);
             return;
@@ -115,14 +117,14 @@
         if self.replays.is(msg) {
             return;
         }
-        self.journal.verdict(msg, verdict).unwrap_or_else(|e| self.broken(e));
+        self.journal.verdict(msg, verdict);
         let Some(held) = self.msgs.get_mut(&msg) else { return };
         held.over = true;
         let said = self.journal.owed().get(&msg).map(|o| o.said.clone()).unwrap_or_default();
-        let notice = Order::Notice(Notice { msg, req: held.req.clone(), verdict, said });
+        let notice = Notice { msg, req: held.req.clone(), verdict, said };
         match &mut held.parked {
-            Some(parked) => parked.push(notice),
-            None => self.order(notice),
+            Some(parked) => parked.push(Order::Notice(notice)),
+            None => self.tell(now, notice),
         }
     }
 
@@ -132,7 +134,7 @@
     }
 
     pub(super) fn forget(&mut self, now: Micros, msg: u64, ended: Option<Ended>) {
-        self.journal.end(msg, now).unwrap_or_else(|e| self.broken(e));
+        self.journal.end(msg, now);
         self.forgotten(now, msg, ended);
     }
 
@@ -155,9 +157,4 @@
             self.by_id.remove(&held.req.id);
         }
     }
-
-    pub(super) fn broken(&mut self, e: std::io::Error) {
-        tracing::error!(target: "journal", "the journal can't be written: {e}");
-        self.failed.get_or_insert(e.to_string());
-    }
 }
--- a/src/core/draining.rs
+++ b/src/core/draining.rs
@@ -190,7 +190,7 @@
                         Verdict::GivenUp
                     }
                 };
-                self.verdict(msg, verdict, &mut []);
+                self.verdict(now, msg, verdict, &mut []);
                 events.push(Event::Hangup(MessageId(msg)));
             }
             self.draining.drains.tallied(id, tally);
--- a/src/core/ending.rs
+++ b/src/core/ending.rs
@@ -10,33 +10,7 @@
 impl Core {
     /// Just before the first byte of a fetch, which the journal must hear of first.
     pub(super) fn begin(&mut self, now: Micros, fetch: &Fetch) -> bool {
-        self.look_at_hand(now);
-        let alive = self.msgs.get(&fetch.msg).is_some_and(|m| !m.over);
-        let ends = self.stop_at.is_some_and(|at| now + LAST_BEGIN >= at);
-        let in_time = now < fetch.req.due;
-        let listed = self.register.get(fetch.req.front).is_some_and(|b| b.serves(&fetch.backend.name));
-        let before_strike = self.draining.may_begin(now, &fetch.req);
-        let told_wait = self.waits.get(&(fetch.req.front, fetch.req.dest)).is_some_and(|until| now < *until);
-        if !alive
-            || ends
-            || !in_time
-            || !listed
-            || !before_strike
-            || told_wait
-            || !self.sender.may_begin(now, MessageId(fetch.msg), fetch.at)
-        {
-            return false;
-        }
-        if self.replays.is(fetch.msg) {
-            return self.begin_replay(now, fetch.msg);
-        }
-        match self.journal.begin(fetch.msg, now, &fetch.backend.name) {
-            Ok(()) => true,
-            Err(e) => {
-                self.broken(e);
-                false
-            }
-        }
+        self.begin_together(now, std::slice::from_ref(fetch)) == [true]
     }
 
     /// The same for the members of a batch, each by itself, with one write of the journal for all that go.
@@ -44,15 +18,41 @@
         if !self.decides() {
             return vec![false; fetches.len()];
         }
-        self.journal.gather();
-        let go: Vec<bool> = fetches.iter().map(|fetch| self.begin(now, fetch)).collect();
-        match self.journal.written() {
-            Ok(()) => go,
-            Err(e) => {
-                self.broken(e);
-                vec![false; fetches.len()]
-            }
+        self.begin_together(now, fetches)
+    }
+
+    fn begin_together(&mut self, now: Micros, fetches: &[Fetch]) -> Vec<bool> {
+        let mut go: Vec<bool> = fetches.iter().map(|fetch| self.may_begin(now, fetch)).collect();
+        let is_replay = |fetch: &Fetch| self.replays.is(fetch.msg);
+        let first_calls = fetches.iter().zip(&go).filter(|(fetch, goes)| **goes && !is_replay(fetch));
+        let attempts: Vec<(u64, &str)> =
+            first_calls.map(|(fetch, _)| (fetch.msg, fetch.backend.name.as_str())).collect();
+        let recorded = self.journal.begin_all(now, &attempts).is_ok();
+        for (fetch, goes) in fetches.iter().zip(&mut go).filter(|(_, goes)| **goes) {
+            *goes = match self.replays.is(fetch.msg) {
+                true => self.begin_replay(now, fetch.msg),
+                false => recorded,
+            };
         }
+        go
+    }
+
+    /// Whether all that is known now lets this fetch begin.
+    fn may_begin(&mut self, now: Micros, fetch: &Fetch) -> bool {
+        self.look_at_hand(now);
+        let alive = self.msgs.get(&fetch.msg).is_some_and(|m| !m.over);
+        let ends = self.stop_at.is_some_and(|at| now + LAST_BEGIN >= at);
+        let in_time = now < fetch.req.due;
+        let listed = self.register.get(fetch.req.front).is_some_and(|b| b.serves(&fetch.backend.name));
+        let before_strike = self.draining.may_begin(now, &fetch.req);
+        let told_wait = self.waits.get(&(fetch.req.front, fetch.req.dest)).is_some_and(|until| now < *until);
+        alive
+            && !ends
+            && in_time
+            && listed
+            && before_strike
+            && !told_wait
+            && self.sender.may_begin(now, MessageId(fetch.msg), fetch.at)
     }
 
     /// Fetches are over: written down together, and one round of the module on all of them, in their order.
@@ -65,10 +65,9 @@
         all.into_iter().for_each(|over| self.one_done(now, over, &mut events, &mut rejected));
         // Danger: an order to send once more, or to tell an end, must not leave before the journal knows how the last call
         // ended.
-        let written = self.journal.written();
-        written.unwrap_or_else(|e| self.broken(e));
+        self.journal.written();
         self.lay_down();
-        rejected.into_iter().for_each(|msg| self.verdict(msg, Verdict::GivenUp, &mut []));
+        rejected.into_iter().for_each(|msg| self.verdict(now, msg, Verdict::GivenUp, &mut []));
         self.remember(now);
         if !events.is_empty() {
             self.feed(now, &events, &mut []);
@@ -91,7 +90,8 @@
         }
         let mut more = Vec::new();
         let heard = self.trust(now, &fetch, end.for_trust(), &mut more);
-        if end == End::Unsent && self.stop_at.is_some_and(|at| now + LAST_BEGIN >= at) {
+        if matches!(end, End::Unsent | End::NotBegun) && self.stop_at.is_some_and(|at| now + LAST_BEGIN >= at)
+        {
             return; // the next life takes it up, with no attempt counted
         }
         let (outcome, over) = match end {
@@ -100,6 +100,7 @@
             End::Spoilt(wait) => (Outcome::Spoilt(wait), false),
             End::TurnedAway(wait) => (Outcome::Full(wait), false),
             End::Unsent => (Outcome::Moot, false),
+            End::NotBegun => (self.not_begun(fetch.msg), false),
             End::Over | End::Rejected => (Outcome::Moot, true),
             // A machine that only an old list names says nothing of its destination.
             End::NotConnected if heard == Heard::Masked => (Outcome::Moot, false),
@@ -109,8 +110,7 @@
             End::CalledOff => (Outcome::Cancelled, false),
         };
         if end != End::Delivered {
-            let written = self.journal.outcome(fetch.msg, end.may_have_run(), &said);
-            written.unwrap_or_else(|e| self.broken(e));
+            self.journal.outcome(fetch.msg, end.may_have_run(), &said);
         }
         match end {
             End::Delivered => self.finish(now, fetch.msg, Ended::Completed, How::Delivered, Some(&said)),
@@ -144,6 +144,15 @@
             held.out = false;
             self.register.book(held.req.front, Micros(0)).call_off(&fetch.backend.name, msg);
         }
-        Some(returned(&fetch, Outcome::Moot, false, Micros(0), Vec::new()))
+        let outcome = self.not_begun(msg);
+        Some(returned(&fetch, outcome, false, Micros(0), Vec::new()))
+    }
+
+    /// The latest attempt of this message is taken back: here, and in the module by the outcome.
+    fn not_begun(&mut self, msg: u64) -> Outcome {
+        if let Some(held) = self.msgs.get_mut(&msg) {
+            held.tries = held.tries.wrapping_sub(1);
+        }
+        Outcome::NotBegun
     }
 }
--- a/src/core/keeping.rs
+++ b/src/core/keeping.rs
@@ -40,7 +40,7 @@
             self.past = Some(Keeping { shelf: Arc::new(Shelf::new(keeper)), upto: 0, gives_way: false });
         }
         let last = self.journal.last_end();
-        self.journal.kept(last).unwrap_or_else(|e| self.broken(e));
+        self.journal.kept(last);
     }
 
     /// A message has ended, and its client knows or need not be told.
@@ -50,22 +50,20 @@
             past.into_iter().for_each(|past| past.shelf.give_way());
             return self.forget(now, msg, Some(ended));
         };
-        match self.journal.end_kept(msg, now, how, said) {
-            Ok(true) => past.gives_way = false,
-            Ok(false) => {
-                past.shelf.give_way();
-                if !std::mem::replace(&mut past.gives_way, true) {
-                    tracing::warn!(target: "history", "its file can't keep up: what ends is not kept for now");
-                }
+        if self.journal.end_kept(msg, now, how, said) {
+            past.gives_way = false;
+        } else {
+            past.shelf.give_way();
+            if !std::mem::replace(&mut past.gives_way, true) {
+                tracing::warn!(target: "history", "its file can't keep up: what ends is not kept for now");
             }
-            Err(e) => self.broken(e),
         }
         self.forgotten(now, msg, Some(ended));
     }
 
     /// Lays down what the journal has written that it has ended.
     pub(super) fn lay_down(&mut self) {
-        let Some(past) = self.past.as_ref().filter(|_| self.failed.is_none()) else { return };
+        let Some(past) = self.past.as_ref().filter(|_| !self.journal.behind()) else { return };
         let ends = self.journal.ended();
         if !ends.is_empty() {
             past.shelf.lay(ends);
@@ -78,7 +76,7 @@
         let upto = past.shelf.upto();
         if upto > past.upto {
             past.upto = upto;
-            self.journal.kept(upto).unwrap_or_else(|e| self.broken(e));
+            self.journal.kept(upto);
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod neighbours;
 pub mod ordering;
 mod orders;
+mod recording;
 pub mod remember;
 pub mod replaying;
 mod shared;
@@ -133,7 +134,7 @@
     members_at: Micros,
     alarm_at: Option<Micros>,
     stop_at: Option<Micros>,
-    failed: Option<String>,
+    recording: recording::Recording,
 }
 
 const TICK_US: u64 = 5_000;
@@ -198,7 +199,7 @@
             members_at: Micros(0),
             alarm_at: None,
             stop_at: None,
-            failed: None,
+            recording: recording::Recording::default(),
         };
         core.take_up_history(now, options.history);
         core.look_at_hand(now);
@@ -241,6 +242,7 @@
             self.strike(now, false);
         }
         self.remember(now);
+        self.keep_recording(now);
         self.hear_kept();
         self.replay(now);
         if self.alarm_at.is_some_and(|at| at <= now) {
@@ -291,7 +293,12 @@
             Report::Answered(msg) | Report::Withdrawn(msg) => {
                 let held = self.msgs.get_mut(&msg);
                 let (parked, joins) = held.map_or((None, None), |m| (m.parked.take(), m.joins.take()));
-                parked.into_iter().flatten().for_each(|order| self.order(order));
+                for order in parked.into_iter().flatten() {
+                    match order {
+                        Order::Notice(notice) => self.tell(now, notice),
+                        order => self.order(order),
+                    }
+                }
                 joins.into_iter().for_each(|batch| self.one_more(batch));
             }
             Report::Begin(fetch) => return Answer::Go(self.begin(now, &fetch)),
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -83,7 +83,7 @@
     Spoilt(Option<Micros>),
     /// Turned away unseen, perhaps with a wait.
     TurnedAway(Option<Micros>),
-    /// Never sent, by the courier's own decision or for want of a slot.
+    /// Not sent on by the backend's word: all slots are taken, or all attempts made.
     Unsent,
     /// Not sent, and nothing more is owed.
     Over,
@@ -97,6 +97,8 @@
     TimedOut,
     /// Called off.
     CalledOff,
+    /// Not a byte of it reached the backend, for a reason of the courier's own: it counts as no attempt.
+    NotBegun,
 }
 
 impl End {
@@ -108,7 +110,7 @@
             }
             End::NotConnected => CallEnd::Refused,
             End::Spoilt(_) | End::Broke | End::TimedOut => CallEnd::Lost,
-            End::Unsent | End::CalledOff => CallEnd::Unsent,
+            End::Unsent | End::NotBegun | End::CalledOff => CallEnd::Unsent,
         }
     }
 
--- /dev/null
+++ b/src/core/recording.rs
@@ -0,0 +1,64 @@
+//! What the core does while the journal can't be written: it takes nothing on and begins no attempt, each refused by the journal
+//! itself, and tells no end that a kill could undo.
+
+use super::{Core, Courier, Notice, Order};
+use crate::api::Micros;
+
+/// How long to wait between two tries to write what could not be written.
+const RETRY: Micros = Micros(20_000);
+
+/// Ends that are not told yet, and whether the journal can be written.
+#[derive(Default)]
+pub(super) struct Recording {
+    /// Notices of verdicts that the journal has in memory only.
+    untold: Vec<Notice>,
+    /// When writing is tried again.
+    retry_at: Micros,
+    /// The journal was failing at the last look.
+    was_failing: bool,
+}
+
+impl Core {
+    /// An end is told once the journal has its verdict. Danger: a process that is killed in between takes the message up again
+    /// and delivers what its client was told to hand in elsewhere. Once its time is up nothing is delivered any more, so then it
+    /// is told all the same.
+    pub(super) fn tell(&mut self, now: Micros, notice: Notice) {
+        if self.journal.behind() && now < notice.req.due {
+            self.recording.untold.push(notice);
+        } else {
+            self.order(Order::Notice(notice));
+        }
+    }
+
+    /// Tries to write what the journal could not write, and tells the ends that waited for it.
+    pub(super) fn keep_recording(&mut self, now: Micros) {
+        let failing = self.journal.failing();
+        if failing && now >= self.recording.retry_at {
+            self.recording.retry_at = now + RETRY;
+            if let Err(e) = self.journal.catch_up() {
+                if !self.recording.was_failing {
+                    tracing::error!(target: "journal", "it can't be written, and nothing is taken on until it can: {e}");
+                }
+            }
+        }
+        if self.recording.was_failing && !self.journal.failing() {
+            tracing::info!(target: "journal", "it is written again");
+            self.lay_down();
+        }
+        self.recording.was_failing = self.journal.failing();
+        for notice in std::mem::take(&mut self.recording.untold) {
+            self.tell(now, notice);
+        }
+    }
+}
+
+impl Courier {
+    /// Whether the journal's records are all written; tries once more if some are not.
+    pub fn recorded(&self) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state();
+        state.recording.retry_at = now;
+        state.keep_recording(now);
+        !state.journal.behind()
+    }
+}
--- a/src/core/replaying.rs
+++ b/src/core/replaying.rs
@@ -313,7 +313,7 @@
             End::Broke => Outcome::Reset,
             End::TimedOut => Outcome::Timeout,
             End::CalledOff => Outcome::Cancelled,
-            End::Unsent | End::Over | End::Rejected => Outcome::Moot,
+            End::Unsent | End::NotBegun | End::Over | End::Rejected => Outcome::Moot,
         };
         if let End::TurnedAway(Some(wait)) | End::Spoilt(Some(wait)) = end {
             self.heard_wait(now, fetch.req.front, fetch.req.dest, wait);
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -253,9 +253,4 @@
         let state = self.state();
         Some((state.register.get(front)?.to_keep()?, state.journal.on_disk()))
     }
-
-    /// Why the journal can't be kept any more, if so: the courier must end.
-    pub fn failed(&self) -> Option<String> {
-        self.state().failed.clone()
-    }
 }
--- a/src/core/taking.rs
+++ b/src/core/taking.rs
@@ -69,7 +69,7 @@
         if !book.knows_dest(req.dest) {
             return Some(if book.certain() { Answer::NoSuchDest } else { Answer::Refused(stay_away) });
         }
-        let full = self.failed.is_some() || self.msgs.len() + before >= self.max_open;
+        let full = self.msgs.len() + before >= self.max_open;
         full.then_some(Answer::Refused(stay_away))
     }
 
@@ -84,13 +84,8 @@
                 *answer = Answer::Refused(wait);
             }
         };
-        let taken = match self.journal.take(&batch) {
-            Ok(taken) => taken,
-            Err(e) => {
-                self.broken(e);
-                0
-            }
-        };
+        // What can't be written down is not taken on.
+        let taken = self.journal.take(&batch).unwrap_or(0);
         for (msg, req) in &batch[taken..] {
             self.figures.count(Ended::Rejected, req.class);
             refuse(*msg, stay_away);
@@ -122,8 +117,15 @@
                 Some(Verdict::HandedBack(wait)) => wait,
                 Some(Verdict::GivenUp) => stay_away,
             };
-            self.forget(now, id, Some(Ended::Rejected));
-            refuse(id, wait);
+            // Danger: a refusal that the journal does not know of is undone by a kill, and the message delivered beside the copy
+            // that its client hands in elsewhere. Then it is taken on, and its end told as of any other.
+            match self.journal.withdraw(id) {
+                Ok(()) => {
+                    self.forgotten(now, id, Some(Ended::Rejected));
+                    refuse(id, wait);
+                }
+                Err(_) => self.verdict(now, id, verdict.unwrap_or(Verdict::GivenUp), &mut []),
+            }
         }
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -298,9 +298,6 @@
     loop {
         let next = courier.tick();
         let now = Instant::now();
-        if let Some(e) = courier.failed() {
-            return Err(format!("NODE_STATE: {e}"));
-        }
         for signal in signals.pending() {
             if signal == SIGHUP {
                 // Danger: a file that can't be read must not take a courier down that still knows its own.
--- a/src/net/mail/client.rs
+++ b/src/net/mail/client.rs
@@ -149,13 +149,13 @@
         None => {
             let up_by = until.min(clock.instant(clock.now() + CONNECT));
             let end =
-                |e: &std::io::Error| if conn::no_descriptor(e) { End::Unsent } else { End::NotConnected };
+                |e: &std::io::Error| if conn::no_descriptor(e) { End::NotBegun } else { End::NotConnected };
             let stream = mail.door.connect(addr, up_by).map_err(|e| fault(end(&e), e.to_string()))?;
             (Arc::new(stream), None)
         }
     };
     if !mail.conns.opened(fetch.msg, fetch.attempt, &stream) {
-        return Err(fault(End::Unsent, "called off"));
+        return Err(fault(End::NotBegun, "called off"));
     }
     let mut talk = Talk { stream: &stream, buf: mail.pool.get(), filled: 0, until };
     let extensions = match known {
@@ -169,12 +169,12 @@
     }
     // The last look before the transaction's first byte: connecting and greeting may have taken long.
     if mail.courier.report(Report::Begin(fetch.clone())) != Answer::Go(true) {
-        return Ok((End::Unsent, String::new(), Some((stream.clone(), extensions))));
+        return Ok((End::NotBegun, String::new(), Some((stream.clone(), extensions))));
     }
     let body = if eight_bit { " BODY=8BITMIME" } else { "" };
     let first = talk.say(&format!("MAIL FROM:<{}>{body}", envelope.from));
     // A connection that was idle may have been closed for that just now; it says nothing of the server.
-    let first = first.map_err(|f| if known.is_some() { fault(End::Unsent, f.said) } else { f });
+    let first = first.map_err(|f| if known.is_some() { fault(End::NotBegun, f.said) } else { f });
     let mut reply = first?;
     if reply.code == 250 {
         reply = talk.say(&format!("RCPT TO:<{}>", envelope.to))?;
--- a/src/net/platform/batch.rs
+++ b/src/net/platform/batch.rs
@@ -56,7 +56,7 @@
     let spare = trip.go();
     let left = std::mem::take(&mut trip.riding);
     // Whoever is still here was never sent.
-    left.into_iter().for_each(|fetch| trip.over.push((fetch, End::Unsent)));
+    left.into_iter().for_each(|fetch| trip.over.push((fetch, End::NotBegun)));
     trip.tell(Micros(0), &[]);
     if let Some((fetch, spare)) = spare {
         platform.conns.keep(&fetch.backend, spare, 0);
@@ -104,7 +104,7 @@
         let sent = Instant::now();
         if conn::write_all(&stream, &buf[..len], until).is_err() {
             // As with one message: its last byte was never written.
-            self.all(if reused { End::Unsent } else { End::NotConnected });
+            self.all(if reused { End::NotBegun } else { End::NotConnected });
             return None;
         }
         for fetch in &self.riding {
@@ -134,7 +134,7 @@
         let (stay, leave): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.riding).into_iter().partition(|f| stays(f));
         self.riding = stay;
-        self.over.extend(leave.into_iter().map(|fetch| (fetch, End::Unsent)));
+        self.over.extend(leave.into_iter().map(|fetch| (fetch, End::NotBegun)));
     }
 
     fn all(&mut self, end: End) {
--- a/src/net/platform/fetch.rs
+++ b/src/net/platform/fetch.rs
@@ -62,24 +62,24 @@
         Err(end) => return Done::without_answer(end),
     };
     if !platform.conns.opened(fetch.msg, fetch.attempt, &stream) {
-        return Done::without_answer(End::Unsent);
+        return Done::without_answer(End::NotBegun);
     }
     let mut buf = platform.pool.get();
     let left = (fetch.until - clock.now()).0 / 1000;
     let Some(len) = (left > 0).then(|| write_request(&mut buf, fetch, left)).flatten() else {
-        return Done { spare: Some(stream), ..Done::without_answer(End::Unsent) };
+        return Done { spare: Some(stream), ..Done::without_answer(End::NotBegun) };
     };
     // The last look before the first byte: connecting may have taken long, and so may the look itself.
     hear_others(platform, fetch);
     let goes = platform.courier.report(Report::Begin(fetch.clone())) == Answer::Go(true);
     if !goes || hear_others(platform, fetch) {
-        return Done { spare: Some(stream), ..Done::without_answer(End::Unsent) };
+        return Done { spare: Some(stream), ..Done::without_answer(End::NotBegun) };
     }
     let sent = Instant::now();
     if conn::write_all(&stream, &buf[..len], until).is_err() {
         // Its last byte was never written, so it never ran. A connection that was idle and broke says nothing
         // of its endpoint: it may have been closed for its idleness just now.
-        return Done::without_answer(if reused { End::Unsent } else { End::NotConnected });
+        return Done::without_answer(if reused { End::NotBegun } else { End::NotConnected });
     }
     platform.courier.board.wrote();
     platform.conns.written(fetch.msg, fetch.attempt, fetch.req.dest);
@@ -106,7 +106,7 @@
     match platform.door.connect(fetch.backend.addr, up_by) {
         Ok(stream) => Ok((Arc::new(stream), false)),
         // Its own want says nothing of the endpoint, and costs the message no attempt.
-        Err(e) if conn::no_descriptor(&e) => Err(End::Unsent),
+        Err(e) if conn::no_descriptor(&e) => Err(End::NotBegun),
         Err(_) => Err(End::NotConnected),
     }
 }
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -25,6 +25,9 @@
         let Event::Returned { id, outcome, terminal, attempt, .. } = *event else { return };
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(out) = held.out.take_if(|o| o.attempt == attempt) else { return };
+        if outcome == Outcome::NotBegun {
+            held.tries = held.tries.saturating_sub(1);
+        }
         let may_still_run = matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if may_still_run || matches!(outcome, Outcome::Error | Outcome::Spoilt(_)) {
             held.risk.get_or_insert((out.sent, out.endpoint));
@@ -38,7 +41,7 @@
         if ended {
             return self.close(id);
         }
-        self.again(now, id, actions);
+        self.again(now, id, outcome != Outcome::NotBegun, actions);
     }
 
     /// What one outcome says of its endpoint and route. A bundle shares one fate and is heard once.
@@ -61,14 +64,15 @@
         let free = |i: usize| report.get(i).is_none_or(|left| *left >= SHUT_SOME);
         let table = !e.linked && outcome == Outcome::Full(None) && self.set.report_left.is_some_and(free);
         let no_room = table || outcome == Outcome::ConnectFailed && e.health == Health::Up;
-        e.linked = outcome == Outcome::Ok || e.linked && matches!(outcome, Outcome::Full(_) | Outcome::Moot);
+        e.linked = outcome == Outcome::Ok
+            || e.linked && matches!(outcome, Outcome::Full(_) | Outcome::Moot | Outcome::NotBegun);
         trust(self.keep.entry(e.kind).or_insert(KEEP_IDLE), no_room, out.sent - e.last_heard, outcome);
         let usual = own_rate(&self.destinations, now, e.route.0, DEPOSIT_LIFE);
         match outcome {
-            Outcome::Moot | Outcome::Cancelled if e.health == Health::HalfOpen => {
+            Outcome::Moot | Outcome::NotBegun | Outcome::Cancelled if e.health == Health::HalfOpen => {
                 e.health = Health::Out { trial_at: now, probed: true };
             }
-            Outcome::Moot | Outcome::Cancelled => {}
+            Outcome::Moot | Outcome::NotBegun | Outcome::Cancelled => {}
             Outcome::Ok => {
                 self.hope += if route.pace.run > 0 { HOPE_GAIN * (1.0 - self.hope) } else { 0.0 };
                 route.pace.taken(now, std::mem::replace(&mut route.taken_at, now), usual);
--- a/src/policy/repeats.rs
+++ b/src/policy/repeats.rs
@@ -18,6 +18,8 @@
 /// with no latency known yet and a small part of a core, one went out when the key was forgotten.
 const REPEAT_WORK: f64 = 2.0;
 const REPEAT_OF_WINDOW: f64 = 0.02;
+/// An attempt that never began is made again within this time: most often what kept it is over at once.
+const NOT_BEGUN_PAUSE: Micros = Micros(100_000);
 const LAST_ROUNDS: f64 = 2.0; // rounds before the due time in which nothing is sent
 
 impl RetryBudget {
@@ -56,13 +58,17 @@
 impl Sender {
     /// A repeat that is permitted backs off and then waits in the queue until a token pays for it; one that
     /// is not is answered at once.
-    pub(super) fn again(&mut self, now: Micros, id: MessageId, actions: &mut Vec<Action>) {
+    pub(super) fn again(&mut self, now: Micros, id: MessageId, begun: bool, actions: &mut Vec<Action>) {
         let Some(held) = self.held.get(&id) else { return };
         let last = self.last_send(held);
         if now >= last || held.tries >= self.set.limits.max_attempts.unwrap_or(u32::MAX) {
             return self.give_up(now, id, actions);
         }
-        let ready_at = now + backoff(&mut self.rng, held.aim, held.tries, last - now);
+        let pause = match begun {
+            true => backoff(&mut self.rng, held.aim, held.tries, last - now),
+            false => NOT_BEGUN_PAUSE.scale(0.5 + 0.5 * uniform(&mut self.rng)),
+        };
+        let ready_at = now + pause;
         let Some(held) = self.held.get_mut(&id) else { return };
         held.ready_at = ready_at;
         self.waiting.add(now, held);
--- a/src/store/ended.rs
+++ b/src/store/ended.rs
@@ -6,7 +6,6 @@
 use crate::api::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
-use std::io;
 
 /// They take no more than this share of the journal's budget, nor more than so many bytes.
 const SHARE: u64 = 8;
@@ -107,21 +106,22 @@
     /// As [`Journal::end`], for a message that is to be put away: it is given out by [`Journal::ended`], and stays here until
     /// [`Journal::kept`] says that it has been. `said`: the last word of the call that ended it. `false`: too many wait, and it has
     /// ended without.
-    pub fn end_kept(&mut self, msg: u64, now: Micros, how: How, said: Option<&str>) -> io::Result<bool> {
-        let Some(owed) = self.owed.get(&msg) else { return Ok(true) };
+    pub fn end_kept(&mut self, msg: u64, now: Micros, how: How, said: Option<&str>) -> bool {
+        let Some(owed) = self.owed.get(&msg) else { return true };
         if self.backlog.bytes + weight(owed) > self.backlog.most {
-            return self.end(msg, now).map(|()| false);
+            self.end(msg, now);
+            return false;
         }
-        self.recognise(msg, now)?;
-        let Some(mut owed) = self.owed.remove(&msg) else { return Ok(true) };
+        self.recognise(msg, now);
+        let Some(mut owed) = self.owed.remove(&msg) else { return true };
         if let Some(said) = said {
             said.clone_into(&mut owed.said);
         }
         let seq = self.backlog.next;
         self.backlog.next += 1;
-        self.append(&end_kept(msg, seq, now, how, said))?;
+        self.append(&end_kept(msg, seq, now, how, said));
         self.backlog.push(Ended { seq, msg, owed, at: now, how });
-        Ok(true)
+        true
     }
 
     /// Those that have ended since this was last asked, in their order; after an opening those that the folder held, of which
@@ -146,24 +146,26 @@
     }
 
     /// All up to this one were put away, or never will be.
-    pub fn kept(&mut self, seq: u64) -> io::Result<()> {
+    pub fn kept(&mut self, seq: u64) {
         while let Some((_, msg, bytes)) = self.backlog.waits.front().copied().filter(|(n, ..)| *n <= seq) {
             self.backlog.waits.pop_front();
             self.backlog.bytes -= bytes;
             // It lives in one segment.
             let _ = self.segments.iter_mut().any(|s| s.live.remove(&msg));
         }
-        self.drop_dead()
+        self.drop_dead();
     }
 
     /// The oldest segment goes though some that it holds wait to be put away; not if one lives there that is owed. They are lost
     /// only if the process is killed before they have been.
-    pub(super) fn let_go(&mut self) -> io::Result<bool> {
-        let Some(oldest) = self.segments.first_mut() else { return Ok(false) };
+    pub(super) fn let_go(&mut self) -> bool {
+        let before = self.segments.len();
+        let Some(oldest) = self.segments.first_mut() else { return false };
         if oldest.live.iter().any(|msg| self.owed.contains_key(msg)) {
-            return Ok(false);
+            return false;
         }
         oldest.live.clear();
-        self.drop_dead().map(|()| true)
+        self.drop_dead();
+        self.segments.len() < before
     }
 }
--- a/src/store/home.rs
+++ b/src/store/home.rs
@@ -1,5 +1,6 @@
 //! Where a journal's files are: a folder, or memory. Nothing above knows which.
 
+use crate::net::conn::no_descriptor;
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, ErrorKind, Write};
@@ -17,6 +18,8 @@
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
     /// Puts these bytes in the place of a file, all or none of them.
     fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Cuts a file to its first bytes.
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
     /// Takes a file away.
     fn remove(&mut self, name: &str) -> io::Result<()>;
 }
@@ -42,7 +45,8 @@
         let at = match self.open.iter().position(|(n, _)| n == name) {
             Some(at) => at,
             None => {
-                let file = OpenOptions::new().create(true).append(true).open(self.dir.join(name))?;
+                let path = self.dir.join(name);
+                let file = self.with_descriptor(|| OpenOptions::new().create(true).append(true).open(&path))?;
                 if self.open.len() >= OPEN_MOST {
                     self.open.remove(0);
                 }
@@ -53,6 +57,17 @@
         Ok(&mut self.open[at].1)
     }
 
+    /// Danger: where connections hold all descriptors, a journal that wants one more is no more written. It closes one of its own
+    /// first, which is opened again when it is needed.
+    fn with_descriptor<T>(&mut self, open: impl Fn() -> io::Result<T>) -> io::Result<T> {
+        loop {
+            match open() {
+                Err(e) if no_descriptor(&e) && !self.open.is_empty() => drop(self.open.remove(0)),
+                other => return other,
+            }
+        }
+    }
+
     fn close(&mut self, name: &str) {
         self.open.retain(|(n, _)| n != name);
     }
@@ -79,8 +94,14 @@
         // Danger: the file that is open is the one that goes.
         self.close(name);
         let beside = self.dir.join(format!("{name}.new"));
-        fs::write(&beside, bytes)?;
-        fs::rename(beside, self.dir.join(name))
+        let written = self.with_descriptor(|| fs::write(&beside, bytes));
+        let replaced = written.and_then(|()| fs::rename(&beside, self.dir.join(name)));
+        // Half a file takes room that others may need. If it can't be removed, the next write replaces it.
+        replaced.inspect_err(|_| drop(fs::remove_file(&beside)))
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.file(name)?.set_len(length)
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
@@ -133,6 +154,13 @@
         Ok(())
     }
 
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        if let Some(file) = self.files().get_mut(name) {
+            file.truncate(usize::try_from(length).unwrap_or(usize::MAX));
+        }
+        Ok(())
+    }
+
     fn remove(&mut self, name: &str) -> io::Result<()> {
         self.files().remove(name).map(drop).ok_or_else(|| ErrorKind::NotFound.into())
     }
--- a/src/store/ids.rs
+++ b/src/store/ids.rs
@@ -11,21 +11,21 @@
 
 impl Journal {
     /// The id of one that ends is recognised for as long as it asked for, if it may have taken effect.
-    pub(super) fn recognise(&mut self, msg: u64, now: Micros) -> io::Result<()> {
+    pub(super) fn recognise(&mut self, msg: u64, now: Micros) {
         let may_have_run = |o: &&Owed| o.risk.is_some() || o.open.is_some();
-        let Some(owed) = self.owed.get(&msg).filter(may_have_run) else { return Ok(()) };
+        let Some(owed) = self.owed.get(&msg).filter(may_have_run) else { return };
         let until = owed.req.keep_id;
         if until > now {
             let id = owed.req.id.clone();
-            self.remember(id, until, now)?;
+            self.remember(id, until, now);
         }
-        Ok(())
     }
 
-    fn remember(&mut self, id: String, until: Micros, now: Micros) -> io::Result<()> {
+    fn remember(&mut self, id: String, until: Micros, now: Micros) {
         let line = id_line(&id, until);
         self.ids.insert(id, until);
-        self.home.append(IDS, line.as_bytes())?;
+        // Danger: behind half a line the next one can't be read either; so after a failure the file is written anew.
+        self.ids_stale |= self.home.append(IDS, line.as_bytes()).is_err();
         self.ids_bytes += line.len() as u64;
         let most = self.budget / IDS_SHARE;
         if self.ids_bytes > most {
@@ -41,9 +41,18 @@
                 bytes -= id_line(&id, until).len() as u64;
                 self.ids.remove(&id);
             }
-            self.ids_bytes = write_ids(&mut *self.home, &self.ids)?;
+            self.ids_stale = true;
+        }
+        if self.ids_stale {
+            self.rewrite_ids();
+        }
+    }
+
+    /// Writes the ids anew. After an error the next call does.
+    pub(super) fn rewrite_ids(&mut self) {
+        if let Ok(bytes) = write_ids(&mut *self.home, &self.ids) {
+            (self.ids_bytes, self.ids_stale) = (bytes, false);
         }
-        Ok(())
     }
 }
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -7,6 +7,7 @@
 //! no live message; the live ones of a segment that stays too long are written again at the tail. A later record
 //! of a message takes the place of all before it, so a stop between the two steps does no harm.
 
+mod appending;
 mod ended;
 pub mod home;
 mod ids;
@@ -18,15 +19,16 @@
 mod segments;
 
 use crate::api::Micros;
+use appending::Tail;
 use ended::Backlog;
 pub use ended::{Ended, How};
 use home::{Folder, Home};
-use ids::{read_ids, write_ids, IDS};
-use reading::{doubt, keep_aside, Reading};
-use records::{apply, body, encode_take, put_record, put_verdict, text, BEGIN, END, OUTCOME, VERDICT};
+use ids::{read_ids, IDS};
+use reading::{doubt, keep_aside, read_segments, Reading};
+use records::{apply, begin_body, body, encode_take, put_record, put_verdict, text, END, OUTCOME, VERDICT};
 use salvage::HEAD;
-use segments::{new_segment, Segment, BLOCK, SEGMENT_PARTS};
-use std::collections::{BTreeMap, BTreeSet};
+use segments::{Segment, BLOCK, SEGMENT_PARTS};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
@@ -101,8 +103,13 @@
     /// Ids of ended messages that are still recognised, and until when.
     ids: BTreeMap<String, Micros>,
     ids_bytes: u64,
+    /// Their file lacks some, or ends in half a line.
+    ids_stale: bool,
     /// Records that are written together once [`Journal::written`] is called; `None`: each is written at once.
     gathered: Option<Vec<u8>>,
+    /// Whole records that could not be written, the oldest first; no entry is longer than a segment.
+    unwritten: VecDeque<Vec<u8>>,
+    tail: Tail,
     incarnation: u64,
     damages: Vec<Damage>,
     doubted: usize,
@@ -132,25 +139,11 @@
 
     fn read(mut home: Box<dyn Home>, disk: u64, now: Micros, incarnation: u64) -> io::Result<Journal> {
         let ids = read_ids(home.read(IDS)?.unwrap_or_default(), now);
-        let ids_bytes = write_ids(&mut *home, &ids)?;
         let budget = disk.max(64 * 1024);
-        let mut numbers: Vec<(u64, String)> = Vec::new();
-        for name in home.names()? {
-            let number = name.strip_suffix(".log").and_then(|n| n.parse().ok());
-            numbers.extend(number.map(|n| (n, name)));
-        }
-        numbers.sort();
-        let next = numbers.last().map_or(1, |(n, _)| n + 1);
         let mut reading = Reading::default();
-        let mut segments: Vec<Segment> = Vec::new();
-        for (number, name) in numbers {
-            let bytes = home.read(&name)?.unwrap_or_default();
-            let live = reading.segment(number, &bytes, segments.last());
-            let mut sum = crc32fast::Hasher::new();
-            sum.update(&bytes);
-            segments.push(Segment { number, name, bytes: bytes.len() as u64, sum, live });
-        }
-        let aside = keep_aside(&mut *home, &reading.damages, &segments)?;
+        let mut segments = read_segments(&*home, &mut reading)?;
+        // What can't be kept aside now is lost with its segment; nothing that is owed rests on it.
+        let aside = keep_aside(&mut *home, &reading.damages, &segments).unwrap_or(0);
         let Reading { mut owed, taken_at, damages, incarnation: before, found } = reading;
         let doubted = doubt(&mut owed, &taken_at, &damages);
         // A message lives in the last segment that holds a take of it.
@@ -159,26 +152,27 @@
         for segment in segments.iter_mut().rev() {
             segment.live.retain(|m| (owed.contains_key(m) || waiting.contains(m)) && seen.insert(*m));
         }
-        let segment_bytes = (budget / SEGMENT_PARTS).max(16 * BLOCK);
-        let incarnation = incarnation.max(before + 1);
-        segments.push(new_segment(&mut *home, next, incarnation, segments.last())?);
-        let gathered = None;
         let mut journal = Journal {
             home,
             budget,
-            segment_bytes,
+            segment_bytes: (budget / SEGMENT_PARTS).max(16 * BLOCK),
             segments,
             owed,
             ids,
-            ids_bytes,
-            gathered,
-            incarnation,
+            ids_bytes: 0,
+            ids_stale: true,
+            gathered: None,
+            unwritten: VecDeque::new(),
+            tail: Tail::Missing,
+            incarnation: incarnation.max(before + 1),
             damages,
             doubted,
             aside,
             backlog: Backlog::new(budget, found),
         };
-        journal.drop_dead()?;
+        // Danger: a folder that can't be written just now still says what is owed; what is missing is written later.
+        let _ = journal.catch_up();
+        journal.drop_dead();
         Ok(journal)
     }
 
@@ -203,7 +197,7 @@
     }
 
     /// Takes reqs on, all by one write; says how many of them, from the first on, there was room for. The others must be
-    /// refused.
+    /// refused. An error says that none could be written.
     pub fn take(&mut self, reqs: &[(u64, Arc<Req>)]) -> io::Result<usize> {
         let (mut records, mut taken, mut written) = (Vec::new(), 0, 0);
         for (msg, req) in reqs {
@@ -216,27 +210,34 @@
                 said: String::new(),
             };
             let body = encode_take(*msg, &owed);
-            if !self.make_room((records.len() + HEAD + body.len()) as u64)? {
-                break;
+            match self.make_room((records.len() + HEAD + body.len()) as u64) {
+                Ok(true) => {}
+                // What waits in `records` may still be written.
+                Ok(false) | Err(_) => break,
             }
             // No segment gets longer than it should.
             if !records.is_empty() && (records.len() + HEAD + body.len()) as u64 > self.segment_bytes {
-                self.write_takes(&mut records, &reqs[written..taken])?;
-                written = taken;
+                match self.write_takes(&mut records, &reqs[written..taken]) {
+                    Ok(()) => written = taken,
+                    Err(e) => return if written > 0 { Ok(written) } else { Err(e) },
+                }
             }
             put_record(&mut records, &body);
             self.owed.insert(*msg, owed);
             taken += 1;
         }
-        self.write_takes(&mut records, &reqs[written..taken])?;
-        Ok(taken)
+        match self.write_takes(&mut records, &reqs[written..taken]) {
+            Ok(()) => Ok(taken),
+            Err(_) if written > 0 => Ok(written),
+            Err(e) => Err(e),
+        }
     }
 
     fn write_takes(&mut self, records: &mut Vec<u8>, reqs: &[(u64, Arc<Req>)]) -> io::Result<()> {
         if reqs.is_empty() {
             return Ok(());
         }
-        self.write(records).inspect_err(|_| {
+        self.write_now(records).inspect_err(|_| {
             reqs.iter().for_each(|(msg, _)| drop(self.owed.remove(msg)));
         })?;
         records.clear();
@@ -244,95 +245,73 @@
         Ok(())
     }
 
-    /// A fetch is about to begin.
-    pub fn begin(&mut self, msg: u64, now: Micros, backend: &str) -> io::Result<()> {
-        let mut body = body(BEGIN, msg);
-        body.extend(now.0.to_le_bytes());
-        text(&mut body, backend);
-        self.change(msg, &body)
+    /// An attempt is about to begin. After an error it must not, and the journal is as it was.
+    pub fn begin(&mut self, msg: u64, now: Micros, endpoint: &str) -> io::Result<()> {
+        self.begin_all(now, &[(msg, endpoint)])
+    }
+
+    /// The same for attempts that share a call, by one write: all of them may begin, or none.
+    pub fn begin_all(&mut self, now: Micros, attempts: &[(u64, &str)]) -> io::Result<()> {
+        let owed = attempts.iter().filter(|(msg, _)| self.owed.contains_key(msg));
+        let bodies: Vec<Vec<u8>> = owed.map(|(msg, endpoint)| begin_body(*msg, now, endpoint)).collect();
+        let mut records = Vec::new();
+        bodies.iter().for_each(|body| put_record(&mut records, body));
+        if !records.is_empty() {
+            self.write_now(&records)?;
+        }
+        for body in &bodies {
+            apply(body, &mut self.owed, &mut BTreeSet::new());
+        }
+        Ok(())
     }
 
     /// A fetch is over; `may_have_run` unless its outcome proves that it never did. `said` is the backend's word.
-    pub fn outcome(&mut self, msg: u64, may_have_run: bool, said: &str) -> io::Result<()> {
+    pub fn outcome(&mut self, msg: u64, may_have_run: bool, said: &str) {
         let mut body = body(OUTCOME, msg);
         body.push(u8::from(may_have_run));
         text(&mut body, said);
-        self.change(msg, &body)
+        self.change(msg, &body);
     }
 
     /// The message's end is decided and its client must be told.
-    pub fn verdict(&mut self, msg: u64, verdict: Verdict) -> io::Result<()> {
+    pub fn verdict(&mut self, msg: u64, verdict: Verdict) {
         let mut body = body(VERDICT, msg);
         put_verdict(&mut body, Some(verdict));
-        self.change(msg, &body)
+        self.change(msg, &body);
     }
 
     /// Nothing more is owed. What may have taken effect is still recognised for as long as it asked for.
     /// Danger: a client whose answer was lost hands the same message in again, long after it was delivered.
-    pub fn end(&mut self, msg: u64, now: Micros) -> io::Result<()> {
-        self.recognise(msg, now)?;
-        self.change(msg, &body(END, msg))?;
-        self.drop_dead()
+    pub fn end(&mut self, msg: u64, now: Micros) {
+        self.recognise(msg, now);
+        self.change(msg, &body(END, msg));
+        self.drop_dead();
     }
 
-    fn change(&mut self, msg: u64, body: &[u8]) -> io::Result<()> {
-        if !self.owed.contains_key(&msg) {
-            return Ok(());
-        }
-        let mut live = BTreeSet::new();
-        apply(body, &mut self.owed, &mut live);
-        if !self.owed.contains_key(&msg) {
-            self.segments.iter_mut().for_each(|s| {
-                s.live.remove(&msg);
-            });
-        }
-        self.append(body)
-    }
-
-    /// From now on records are kept together, up to a segment's length, until [`Journal::written`]. Nothing that rests on
-    /// them may be done before, and no req may be taken.
-    pub fn gather(&mut self) {
-        self.gathered.get_or_insert_default();
-    }
-
-    /// Writes what was gathered; from now on each record is written at once again.
-    pub fn written(&mut self) -> io::Result<()> {
-        match self.gathered.take() {
-            Some(records) if !records.is_empty() => self.write(&records),
-            _ => Ok(()),
+    /// A message that was just taken is not taken on after all. After an error it still is.
+    pub fn withdraw(&mut self, msg: u64) -> io::Result<()> {
+        if self.owed.contains_key(&msg) {
+            self.append_now(&body(END, msg))?;
+            self.apply_change(msg, &body(END, msg));
+            self.drop_dead();
         }
+        Ok(())
     }
 
-    fn append(&mut self, body: &[u8]) -> io::Result<()> {
-        if let Some(mut records) = self.gathered.take() {
-            // Danger: a segment that grows past its length breaks the count of what is still free.
-            if !records.is_empty() && (records.len() + HEAD + body.len()) as u64 > self.segment_bytes {
-                self.write(&records)?;
-                records.clear();
-            }
-            put_record(&mut records, body);
-            self.gathered = Some(records);
-            return Ok(());
+    fn change(&mut self, msg: u64, body: &[u8]) {
+        if self.owed.contains_key(&msg) {
+            self.apply_change(msg, body);
+            self.append(body);
         }
-        let mut record = Vec::with_capacity(HEAD + body.len());
-        put_record(&mut record, body);
-        self.write(&record)
     }
 
-    /// Whole records, to one segment.
-    fn write(&mut self, records: &[u8]) -> io::Result<()> {
-        let used = self.segments.last().map_or(0, |s| s.bytes);
-        if used > 0 && used + records.len() as u64 > self.segment_bytes {
-            let next = self.segments.last().map_or(1, |s| s.number + 1);
-            let segment = new_segment(&mut *self.home, next, self.incarnation, self.segments.last())?;
-            self.segments.push(segment);
-        }
-        if let Some(last) = self.segments.last_mut() {
-            self.home.append(&last.name, records)?;
-            last.sum.update(records);
-            last.bytes += records.len() as u64;
+    fn apply_change(&mut self, msg: u64, body: &[u8]) {
+        apply(body, &mut self.owed, &mut BTreeSet::new());
+        if !self.owed.contains_key(&msg) {
+            self.segments.iter_mut().for_each(|s| {
+                s.live.remove(&msg);
+            });
         }
-        Ok(())
     }
 
     fn lives_here(&mut self, msg: u64) {
--- a/src/store/reading.rs
+++ b/src/store/reading.rs
@@ -2,7 +2,7 @@
 
 use super::ended::Found;
 use super::records::{apply, Fields, BEGIN, END, START, TAKE};
-use super::salvage::{pieces, Piece, HEAD};
+use super::salvage::{pieces, record_at, Piece, HEAD};
 use super::segments::{Segment, BLOCK};
 use super::{Damage, Ended, Home, Owed};
 use crate::api::Micros;
@@ -25,6 +25,67 @@
     pub found: Found,
 }
 
+/// What the first record of a segment says of the one before it.
+struct Before {
+    number: u64,
+    bytes: u64,
+    sum: u32,
+}
+
+impl Before {
+    /// Behind the kind and the message of a [`START`]: the owner, and the segment before.
+    fn read(mut fields: Fields) -> Option<(u64, Before)> {
+        let incarnation = fields.u64()?;
+        Some((incarnation, Before { number: fields.u64()?, bytes: fields.u64()?, sum: fields.u32()? }))
+    }
+
+    fn of(segment: &[u8]) -> Option<Before> {
+        let (body, _) = record_at(segment, 0)?;
+        let mut fields = Fields(&segment[body]);
+        let kind = fields.u8()?;
+        fields.u64()?;
+        Before::read(fields).filter(|_| kind == START).map(|(_, before)| before)
+    }
+
+    /// How much of the segment before was written by appends that succeeded; `None`: as much as is there.
+    fn length(&self, number: u64, bytes: &[u8]) -> Option<usize> {
+        let length = usize::try_from(self.bytes).ok()?;
+        let written = bytes.get(..length).filter(|_| self.number == number)?;
+        (crc32fast::hash(written) == self.sum).then_some(length)
+    }
+}
+
+/// Reads all segments of a folder, the oldest first. Danger: where a failed append could not be taken back, what it left is no
+/// record and no damage; the segment behind it says where it begins.
+pub(super) fn read_segments(home: &dyn Home, reading: &mut Reading) -> io::Result<Vec<Segment>> {
+    let mut names: Vec<(u64, String)> = Vec::new();
+    for name in home.names()? {
+        let number = name.strip_suffix(".log").and_then(|n| n.parse().ok());
+        names.extend(number.map(|n| (n, name)));
+    }
+    names.sort();
+    let mut segments: Vec<Segment> = Vec::new();
+    let mut names = names.into_iter().peekable();
+    let mut next_bytes = None;
+    while let Some((number, name)) = names.next() {
+        let mut bytes = match next_bytes.take() {
+            Some(bytes) => bytes,
+            None => home.read(&name)?.unwrap_or_default(),
+        };
+        if let Some((_, next)) = names.peek() {
+            let following = home.read(next)?.unwrap_or_default();
+            let length = Before::of(&following).and_then(|before| before.length(number, &bytes));
+            bytes.truncate(length.unwrap_or(bytes.len()));
+            next_bytes = Some(following);
+        }
+        let live = reading.segment(number, &bytes, segments.last());
+        let mut sum = crc32fast::Hasher::new();
+        sum.update(&bytes);
+        segments.push(Segment { number, name, bytes: bytes.len() as u64, sum, live });
+    }
+    Ok(segments)
+}
+
 impl Reading {
     /// Reads one more; says which messages it holds takes of.
     pub fn segment(&mut self, number: u64, bytes: &[u8], before: Option<&Segment>) -> BTreeSet<u64> {
@@ -76,18 +137,18 @@
         self.found.push(Ended { seq, msg, owed, at, how });
     }
 
-    fn start(&mut self, mut fields: Fields, before: Option<&Segment>) {
-        let (Some(incarnation), Some(number), Some(bytes), Some(sum)) =
-            (fields.u64(), fields.u64(), fields.u64(), fields.u32())
-        else {
-            return;
-        };
+    fn start(&mut self, fields: Fields, before: Option<&Segment>) {
+        let Some((incarnation, told)) = Before::read(fields) else { return };
         self.incarnation = self.incarnation.max(incarnation);
-        let Some(before) = before.filter(|b| b.number == number) else { return };
-        let known = self.damages.iter().any(|d| d.segment == number);
-        if (before.bytes, before.sum.clone().finalize()) != (bytes, sum) && !known {
+        let Some(before) = before.filter(|b| b.number == told.number) else { return };
+        let known = self.damages.iter().any(|d| d.segment == told.number);
+        if (before.bytes, before.sum.clone().finalize()) != (told.bytes, told.sum) && !known {
             let end = before.bytes as usize;
-            self.damages.push(Damage { segment: number, bytes: end..end, what: "it is not what it was" });
+            self.damages.push(Damage {
+                segment: told.number,
+                bytes: end..end,
+                what: "it is not what it was",
+            });
         }
     }
 }
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -42,6 +42,14 @@
     }
 }
 
+/// An attempt begins at this endpoint.
+pub(super) fn begin_body(msg: u64, now: Micros, endpoint: &str) -> Vec<u8> {
+    let mut body = body(BEGIN, msg);
+    body.extend(now.0.to_le_bytes());
+    text(&mut body, endpoint);
+    body
+}
+
 pub(super) fn put_verdict(body: &mut Vec<u8>, verdict: Option<Verdict>) {
     let (kind, wait) = match verdict {
         None => (0, Micros(0)),
--- a/src/store/segments.rs
+++ b/src/store/segments.rs
@@ -3,7 +3,7 @@
 use super::records::{body, encode_take, put_record, START};
 use super::{Home, Journal};
 use std::collections::BTreeSet;
-use std::io;
+use std::io::{self, ErrorKind};
 
 pub(super) const SEGMENT_PARTS: u64 = 16;
 pub(super) const BLOCK: u64 = 512;
@@ -25,12 +25,14 @@
         ids + self.aside + self.segments.iter().map(|s| s.bytes.div_ceil(BLOCK) * BLOCK).sum::<u64>()
     }
 
-    pub(super) fn drop_dead(&mut self) -> io::Result<()> {
+    /// Removes segments without live messages. One that can't be removed now is tried again the next time.
+    pub(super) fn drop_dead(&mut self) {
         while self.segments.len() > 1 && self.segments[0].live.is_empty() {
-            let dead = self.segments.remove(0);
-            self.home.remove(&dead.name)?;
+            match self.home.remove(&self.segments[0].name) {
+                Err(e) if e.kind() != ErrorKind::NotFound => return,
+                _ => drop(self.segments.remove(0)),
+            }
         }
-        Ok(())
     }
 
     /// Room for so many more bytes, with a reserve: to write one segment again, and for the outcomes and ends of
@@ -60,14 +62,14 @@
             }
             for msg in oldest {
                 if let Some(body) = self.owed.get(&msg).map(|owed| encode_take(msg, owed)) {
-                    self.append(&body)?;
+                    self.append_now(&body)?;
                     self.lives_here(msg);
                 }
             }
-            self.drop_dead()?;
+            self.drop_dead();
         }
         // The history gives way to traffic.
-        while self.segments.len() > 1 && self.on_disk() + bytes + reserve > self.budget && self.let_go()? {}
+        while self.segments.len() > 1 && self.on_disk() + bytes + reserve > self.budget && self.let_go() {}
         Ok(self.on_disk() + bytes + reserve <= self.budget)
     }
 }
@@ -85,6 +87,8 @@
     start.extend(sum.to_le_bytes());
     let mut record = Vec::new();
     put_record(&mut record, &start);
+    // What a failed append left there would stand before the first record.
+    home.truncate(&name, 0)?;
     home.append(&name, &record)?;
     let mut sum = crc32fast::Hasher::new();
     sum.update(&record);
--- a/src/upgrade/mod.rs
+++ b/src/upgrade/mod.rs
@@ -134,9 +134,17 @@
             if too_late.swap(true, Ordering::SeqCst) {
                 return false;
             }
+            let mut state = state;
+            // Danger: what the journal has in memory only would be lost to the other process.
+            if !courier.recorded() {
+                state.hear(Heard::Settled(false));
+                let why = Frame::No("its journal can't be written".into());
+                // An error says that it is gone.
+                let _ = send(&ours, &why, &[], courier.clock.instant(courier.clock.now() + ANSWER));
+                return said.send((state, None)).is_err();
+            }
             let mut passed = courier.freeze();
             passed.answering = seats.iter().flat_map(|(_, words)| words.receipts.iter().copied()).collect();
-            let mut state = state;
             state.hear(Heard::Settled(true));
             let until = courier.clock.instant(courier.clock.now() + READY);
             let heard = match pass_all(&ours, passed, listener, seats, until) {
--- a/tests/history_ends.rs
+++ b/tests/history_ends.rs
@@ -108,6 +108,9 @@
     fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         self.inner.replace(name, bytes)
     }
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.inner.truncate(name, length)
+    }
     fn remove(&mut self, name: &str) -> io::Result<()> {
         self.inner.remove(name)
     }
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -44,13 +44,13 @@
         assert_eq!(journal.take(&[(msg, req(&format!("m{msg}"), 10))]).unwrap(), 1);
     }
     journal.begin(1, Micros(200), "s-1").unwrap();
-    journal.outcome(1, false, "busy").unwrap();
+    journal.outcome(1, false, "busy");
     journal.begin(1, Micros(300), "s-2").unwrap();
     journal.begin(2, Micros(400), "s-1").unwrap();
-    journal.outcome(2, true, "").unwrap();
+    journal.outcome(2, true, "");
     journal.begin(2, Micros(500), "s-2").unwrap();
-    journal.verdict(3, Verdict::HandedBack(Micros(77))).unwrap();
-    journal.end(4, Micros(600)).unwrap();
+    journal.verdict(3, Verdict::HandedBack(Micros(77)));
+    journal.end(4, Micros(600));
     drop(journal);
     let journal = open(&dir);
     let owed = journal.owed();
@@ -77,12 +77,12 @@
         for life in 0..3u64 {
             let mut journal = open(&dir);
             journal.begin(1, Micros(300 + life), "s-2").unwrap();
-            journal.outcome(1, false, "busy").unwrap();
+            journal.outcome(1, false, "busy");
             // Enough for its segment to be written anew.
             for n in 0..if rewritten { 400 } else { 0 } {
                 let msg = 1_000 + life * 1_000 + n;
                 journal.take(&[(msg, req(&format!("x{msg}"), 900))]).unwrap();
-                journal.end(msg, Micros(400)).unwrap();
+                journal.end(msg, Micros(400));
             }
         }
         let journal = open(&dir);
@@ -137,7 +137,7 @@
     for msg in 2..3000 {
         assert_eq!(journal.take(&[(msg, req(&format!("m{msg}"), 3000))]).unwrap(), 1, "message {msg}");
         journal.begin(msg, Micros(msg), "s-1").unwrap();
-        journal.end(msg, Micros(msg)).unwrap();
+        journal.end(msg, Micros(msg));
         assert!(on_disk(&dir) <= DISK, "{} bytes after {msg}", on_disk(&dir));
     }
     let mut refused = 0;
@@ -151,7 +151,7 @@
     for msg in &held {
         for n in 0..8 {
             journal.begin(*msg, Micros(n), "a-name-of-usual-length").unwrap();
-            journal.outcome(*msg, true, "").unwrap();
+            journal.outcome(*msg, true, "");
         }
         assert!(on_disk(&dir) <= DISK);
     }
@@ -159,7 +159,7 @@
     let mut journal = open(&dir);
     assert_eq!(journal.owed().keys().copied().collect::<Vec<_>>(), held);
     for msg in held {
-        journal.end(msg, Micros(4000)).unwrap();
+        journal.end(msg, Micros(4000));
     }
     assert!(journal.owed().is_empty());
 }
@@ -175,8 +175,8 @@
     }
     journal.begin(1, Micros(200), "s").unwrap();
     journal.begin(3, Micros(200), "s").unwrap();
-    journal.outcome(3, false, "550 no").unwrap();
-    (1..=3).for_each(|msg| journal.end(msg, Micros(300)).unwrap());
+    journal.outcome(3, false, "550 no");
+    (1..=3).for_each(|msg| journal.end(msg, Micros(300)));
     let knows = |journal: &Journal, at| ["ran", "never", "refused"].map(|id| journal.knows(id, Micros(at)));
     assert_eq!(knows(&journal, 400), [true, false, false]);
     drop(journal);
@@ -198,12 +198,12 @@
             if gathers {
                 journal.gather();
             }
-            journal.outcome(msg, msg % 3 == 0, "busy").unwrap();
+            journal.outcome(msg, msg % 3 == 0, "busy");
             if msg % 7 != 0 {
-                journal.end(msg, Micros(300 + msg)).unwrap();
+                journal.end(msg, Micros(300 + msg));
             }
             if gathers {
-                journal.written().unwrap();
+                journal.written();
             }
         }
     };
@@ -238,17 +238,17 @@
         assert_eq!(journal.take(&[(msg, req(&format!("m{msg}"), 30))]).unwrap(), 1);
     }
     journal.begin(3, Micros(200), "s-3").unwrap();
-    journal.end(3, Micros(210)).unwrap();
+    journal.end(3, Micros(210));
     journal.begin(4, Micros(220), "s-4").unwrap();
-    journal.outcome(4, false, "busy").unwrap();
+    journal.outcome(4, false, "busy");
     drop(journal);
     let mut journal = Journal::open(&dir, DISK, Micros(300)).unwrap();
     for msg in 5..=6 {
         assert_eq!(journal.take(&[(msg, req(&format!("m{msg}"), 30))]).unwrap(), 1);
     }
     journal.begin(5, Micros(400), "s-5").unwrap();
-    journal.outcome(5, true, "").unwrap();
-    journal.verdict(6, Verdict::GivenUp).unwrap();
+    journal.outcome(5, true, "");
+    journal.verdict(6, Verdict::GivenUp);
     journal.begin(1, Micros(500), "s-1").unwrap();
     dir
 }
