--- a/src/clock/anchor.rs
+++ b/src/clock/anchor.rs
@@ -98,9 +98,17 @@
 pub struct Pending {
     dir: PathBuf,
     anchor: Option<Anchor>,
+    /// How far the wall clock is ahead of the courier's.
+    step_ms: i64,
 }
 
 impl Pending {
+    /// Says in the log how the clock has started.
+    pub fn tell(&self) {
+        let (goes_on, step_ms) = (self.anchor.is_none(), self.step_ms);
+        tracing::info!(target: "clock", goes_on, step_ms, "the courier's clock has started");
+    }
+
     /// Writes it, if it is not written yet; the error says why it could not be.
     pub fn write(&mut self) -> io::Result<()> {
         let Some(anchor) = &self.anchor else { return Ok(()) };
@@ -118,7 +126,6 @@
     let (time, holds) = resume(anchor.as_ref(), &reading);
     let clock = Clock::at(time);
     let step_ms = (reading.wall.0 as i64 - time.0 as i64) / 1_000;
-    tracing::info!(target: "clock", goes_on = holds, step_ms, "the courier's clock has started");
     let anchor = (!holds).then_some(Anchor { boot: reading.boot, monotonic: reading.monotonic, time });
-    (clock, Pending { dir: dir.to_owned(), anchor })
+    (clock, Pending { dir: dir.to_owned(), anchor, step_ms })
 }
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -3,6 +3,7 @@
 use super::{draining, Answer, Core, End, Fetch, Options, Order, Over, Report, Req};
 use crate::admin::figures::Board;
 use crate::api::{Micros, Settings};
+use crate::clock::Clock;
 use crate::history::shelf::Shelf;
 use crate::register::kept::Edition;
 use crate::register::phase::Phase;
@@ -12,33 +13,7 @@
 use std::ops::{Deref, DerefMut};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, TryLockError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-
-/// The wall clock read once, and moved on by the monotonic one: deadlines outlast the process, and a step of the
-/// wall clock moves none of them.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Micros,
-}
-
-impl Clock {
-    /// Reads the wall clock, once.
-    pub fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: Micros(unix.as_micros() as u64) }
-    }
-
-    /// Now, in microseconds since 1970.
-    pub fn now(&self) -> Micros {
-        self.unix + Micros(self.start.elapsed().as_micros() as u64)
-    }
-
-    /// The moment on the monotonic clock.
-    pub fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros((at - self.unix).0)
-    }
-}
+use std::time::Instant;
 
 /// The courier's decisions, shared by all threads.
 pub struct Courier {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,9 +5,10 @@
 use crate::admin::{door, hand, hand::Hand, Desk};
 use crate::admission;
 use crate::ask;
+use crate::clock::anchor;
 use crate::config::{Addresses, Config, Paths};
 use crate::control::{self, shape::Words};
-use crate::core::{draining, remember as memory, Clock, Courier, Options, Report, Source, Word};
+use crate::core::{draining, remember as memory, Courier, Options, Report, Source, Word};
 use crate::history;
 use crate::net::ask::{Asker, Setup};
 use crate::net::peers::riders;
@@ -76,7 +77,7 @@
         return Err("listen: not set, and the mail front is off".into());
     }
     let slots = settings.limits.slots.map_or(64, |s| s as usize).clamp(1, 256) + 2;
-    let clock = Clock::start();
+    let (clock, mut anchor) = anchor::start(&state);
     // Before anything is touched: an address that is taken or a descriptor that is none ends this process alone.
     let inherited = inherit::listener(paths.listen_fd.as_deref(), config.listen.as_deref())?;
     let door_listener = match door_at {
@@ -92,7 +93,7 @@
     let in_state = |e: &dyn std::fmt::Display| format!("NODE_STATE: {}: {e}", state.display());
     let for_hand = if door_at.is_some() { hand::ROOM } else { 0 };
     let for_history = history.as_ref().map_or(0, |h| h.disk);
-    let others = zones + for_copy + for_drains + for_hand + owner::ROOM + memory::ROOM;
+    let others = zones + for_copy + for_drains + for_hand + owner::ROOM + memory::ROOM + anchor::ROOM;
     let room = disk.saturating_sub(others + for_history);
     if for_history > 0 && room < JOURNAL_LEAST {
         return Err(format!(
@@ -106,6 +107,9 @@
     // Danger: two processes on one folder both answer for its messages, and each destroys the other's journal.
     let (owner, taken) = upgrade::claim(&state, &clock, upgradable).map_err(|e| in_state(&e))?;
     let taken_over = taken.is_some();
+    if let Err(e) = anchor.write() {
+        tracing::warn!(target: "clock", "its anchor can't be written yet: {e}");
+    }
     let (mut passed, mut taken_listener, mut sessions, mut ends) = (None, None, Vec::new(), None);
     if let Some(taken) = taken {
         (passed, taken_listener) = (Some(taken.passed), taken.listener);
@@ -291,6 +295,7 @@
         };
         upgrade::serve(&state, this);
     }
+    anchor.tell();
     tracing::info!(target: "daemon", register = phase, incarnation, "ready; {owed} messages are owed, {backends} backends known");
     let mut stopping: Option<Instant> = None;
     let mut left_at: Option<Instant> = None;
@@ -343,8 +348,10 @@
                 continue;
             }
             conns.iter().for_each(|c| c.sweep());
+            // After an error the next round does it.
+            let _ = anchor.write();
             if let Some(keeper) = &mut keeper {
-                let others = zones + for_drains + for_hand + memory::ROOM + for_history;
+                let others = zones + for_drains + for_hand + memory::ROOM + anchor::ROOM + for_history;
                 keep_list(&courier, keeper, disk.saturating_sub(others));
             }
             if let Some(word) = fixed.as_mut().and_then(|f: &mut Fixed| f.look(courier.clock.now())) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 mod carry;
 pub mod checked;
 pub mod cli;
+pub mod clock;
 pub mod comeback;
 pub mod config;
 pub mod control;
--- a/src/store/home.rs
+++ b/src/store/home.rs
@@ -46,7 +46,8 @@
             Some(at) => at,
             None => {
                 let path = self.dir.join(name);
-                let file = self.with_descriptor(|| OpenOptions::new().create(true).append(true).open(&path))?;
+                let file =
+                    self.with_descriptor(|| OpenOptions::new().create(true).append(true).open(&path))?;
                 if self.open.len() >= OPEN_MOST {
                     self.open.remove(0);
                 }
