Couriers of a large fleet ask discovery again within 4.5 s

Seen (read, then forced): after a failed call the policy's pause grew to the longest that the settings allow, ten seconds, from some 50 couriers on (src/policy/listing.rs `ask_again`: twice the span over which the fleet's asks are spread, bounded by that alone).

Change: no pause over 4.5 s; at that bound pauses differ by a tenth only, and the first asks are 65 ms apart a courier (50), so that a hundred whose asks all fail stay under 25 in any second, as the test of that asks (30 with pauses between half and whole).

--- a/src/policy/listing.rs
+++ b/src/policy/listing.rs
@@ -6,7 +6,13 @@
 /// Danger: a fleet that asks at once is answered too late and asks again; so asks come so far apart.
 const ASK_AGAIN: Micros = Micros(500_000);
 const ASK_OF_ALLOWED: f64 = 0.25;
-const ASK_APART: Micros = Micros(50_000);
+const ASK_APART: Micros = Micros(65_000);
+/// Danger: six seconds after discovery can be reached again a change counts as told, however large the fleet;
+/// so no pause is longer than leaves time for an answer.
+const ASK_MOST: Micros = Micros(4_500_000);
+/// A pause is this share of its bound at least.
+const ASK_LEAST: f64 = 0.5;
+const ASK_MOST_LEAST: f64 = 0.9;
 
 impl Sender {
     /// The span over which one ask of each sender is spread.
@@ -28,9 +34,11 @@
 
     pub(super) fn ask_again(&mut self, now: Micros) {
         let (allowed, apart) = (self.set.rules.must_ask_in.unwrap_or(DEPOSIT_LIFE), self.asks_apart());
-        let most = allowed.scale(ASK_OF_ALLOWED).max(apart.scale(2.0)).min(allowed);
+        let most = allowed.scale(ASK_OF_ALLOWED).max(apart.scale(2.0)).min(allowed).min(ASK_MOST);
         let bound = ASK_AGAIN.max(apart).scale(2f64.powi(self.ask_fails.min(16) as i32)).min(most);
-        self.ask_at = Some(now + bound.scale(0.5 + 0.5 * uniform(&mut self.rng)));
+        // Danger: pauses that differ much pile the asks of a fleet up again that were well apart.
+        let least = if bound == ASK_MOST { ASK_MOST_LEAST } else { ASK_LEAST };
+        self.ask_at = Some(now + bound.scale(least + (1.0 - least) * uniform(&mut self.rng)));
         self.ask_fails += 1;
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -46,6 +46,24 @@
     assert!(all.len() >= 100 * 3, "{}: each goes on asking", all.len());
 }
 
+/// Guards against a large fleet that learns of a drain more than six seconds after discovery can be reached again: its pauses grew
+/// to ten. An ask that fails takes two seconds here.
+#[test]
+fn no_fleet_is_so_large_that_its_couriers_ask_too_late() {
+    for senders in [3, 40, 100, 300, 900, u32::MAX] {
+        for seed in 0..20 {
+            let mut b = Bench::seeded(set_of(senders), vec![entry(1, 7)], seed);
+            for _ in 0..12 {
+                b.feed(vec![Event::ListFailed]);
+                let failed = b.now;
+                while !b.wait(10_000).contains(&Action::Follow) {
+                    assert!(b.now < failed + 5 * S, "{senders} couriers, seed {seed}");
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn the_asks_of_a_small_fleet_come_at_once() {
     let all = asks(3, 3, 40 * S);
