Slow start: no end of it by a guess, and a life knows of the outage that it was killed in

The surge began 1.5 s before the cold time was over: `back` (src/policy/release.rs) guesses the return half-way back to the last failure, and the ramp ended by that guess, with all that had piled up behind it. Ruled out: the time of the last failure (kept anew at each trial that fails; a change there moved nothing). A killed courier's next life knew nothing of the outage and sent all that it held.

Change: the ramp ends the cold time after the latest moment at which the endpoint may have come back (`Endpoint::is_warm`); its rate still goes by the guess. Endpoints that are out or cold are written down beside told waits (src/comeback/memory.rs, src/core/remember.rs), at once when one is found so, and the next life begins with them, its trials spread, its part of the rate by the former life's demand (src/policy/outages.rs).

--- a/src/api/decide.rs
+++ b/src/api/decide.rs
@@ -10,6 +10,20 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Carried(pub(crate) serde_json::Value);
 
+/// How a life found an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outage {
+    /// It fails, or did at the last look.
+    Out,
+    /// It is back and cold.
+    Cold {
+        /// When it came back, as far as can be guessed.
+        since: Micros,
+        /// The latest moment at which it may have.
+        back_by: Micros,
+    },
+}
+
 /// What decides: [`crate::Sender`], or whatever an emulator compares with it. No I/O, no clock, no threads.
 pub trait Decide: Send {
     /// Takes in what happened at `now` and appends what to do about it.
@@ -26,6 +40,17 @@
     fn demand(&self, _now: Micros) -> Vec<(DestinationId, f64)> {
         Vec::new()
     }
+    /// Endpoints that are out, or cold after an outage.
+    fn outages(&self, _now: Micros) -> Vec<(EndpointId, Outage)> {
+        Vec::new()
+    }
+    /// One more with each endpoint that is found out or back.
+    fn outage_changes(&self) -> u64 {
+        0
+    }
+    /// A former life found this endpoint so, and so much was handed in for its destination, in messages a second; before anything
+    /// else has happened.
+    fn was_out(&mut self, _id: EndpointId, _outage: Outage, _per_s: f64) {}
     /// Whether the module keeps away from this endpoint now, as it found it to be out. For overviews.
     fn avoids(&self, _id: EndpointId) -> bool {
         false
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -103,6 +103,18 @@
         Sender::demand(self, now)
     }
 
+    fn outages(&self, now: Micros) -> Vec<(EndpointId, Outage)> {
+        Sender::outages(self, now)
+    }
+
+    fn outage_changes(&self) -> u64 {
+        self.outage_changes
+    }
+
+    fn was_out(&mut self, id: EndpointId, outage: Outage, per_s: f64) {
+        Sender::was_out(self, id, outage, per_s);
+    }
+
     fn avoids(&self, id: EndpointId) -> bool {
         self.endpoints.get(&id).is_some_and(|e| e.health.is_out())
     }
--- a/src/comeback/memory.rs
+++ b/src/comeback/memory.rs
@@ -8,7 +8,7 @@
 //! Danger: what piled up during an absence, of one instance or at its clients, else goes out in the first second, of all that
 //! were away at once; the limit that they share turns much of it away, and all of them are slowed down for it.
 
-use crate::api::Micros;
+use crate::api::{Micros, Outage};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
@@ -44,13 +44,29 @@
 /// What is written down.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Memory {
-    /// When, by the wall clock.
+    /// When, by the courier's clock.
     pub written_at: Micros,
     /// Front, destination, and until when to wait.
     pub waits: Vec<(u8, u16, Micros)>,
     /// What was asked.
     #[serde(default)]
     pub demand: Demand,
+    /// Endpoints that were out or cold.
+    #[serde(default)]
+    pub outages: Vec<Known>,
+}
+
+/// An endpoint that a life found out or cold.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Known {
+    /// Whose list names it.
+    pub front: u8,
+    /// Its name there.
+    pub name: String,
+    /// Its destination.
+    pub dest: u16,
+    /// How it was found.
+    pub outage: Outage,
 }
 
 impl Memory {
@@ -62,7 +78,7 @@
         kept.truncate(MOST);
         demand.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
         demand.truncate(MOST);
-        Memory { written_at: now, waits: kept, demand }
+        Memory { written_at: now, waits: kept, demand, outages: Vec::new() }
     }
 
     /// The demand as far as it is believed now.
@@ -72,6 +88,21 @@
         all.take(MOST).copied().collect()
     }
 
+    /// The same with these outages, or as many as are kept.
+    pub fn with_outages(self, outages: impl Iterator<Item = Known>) -> Memory {
+        Memory { outages: outages.take(MOST).collect(), ..self }
+    }
+
+    /// The outages as far as they are believed now. Danger: an endpoint that is believed out gets one trial at a time.
+    pub fn outages_at(&self, now: Micros) -> &[Known] {
+        let believed = self.written_at <= now && now - self.written_at <= DEMAND_LIFE;
+        if believed {
+            &self.outages[..self.outages.len().min(MOST)]
+        } else {
+            &[]
+        }
+    }
+
     /// Its bytes.
     pub fn bytes(&self) -> Vec<u8> {
         serde_json::to_vec(self).unwrap_or_default()
@@ -132,6 +163,11 @@
         self.news |= until > before && until > now + SHORTEST;
     }
 
+    /// What else is written has changed.
+    pub fn changed(&mut self) {
+        self.news = true;
+    }
+
     /// Whether to write now; how it went is told to [`Beat::written`].
     pub fn due(&self, now: Micros) -> bool {
         (self.news || self.demand_at <= now) && self.next_at <= now
@@ -175,8 +211,11 @@
 
     #[test]
     fn what_can_not_be_is_not_believed() {
-        let far =
-            Memory { written_at: Micros(S), waits: vec![(0, 3, Micros(LONGEST.0 + 2 * S))], demand: vec![] };
+        let far = Memory {
+            written_at: Micros(S),
+            waits: vec![(0, 3, Micros(LONGEST.0 + 2 * S))],
+            ..Memory::default()
+        };
         assert_eq!(far.waits_at(Micros(S)), waits(&[]));
         for bytes in [&b""[..], b"{}", b"[1]", b"{\"written_at\":1,\"waits\":[[300,1,1]]}", b"\xff"] {
             assert!(Memory::read(bytes).is_err(), "{bytes:?}");
@@ -266,7 +305,7 @@
         /// Nor do figures at the ends of their range.
         #[test]
         fn no_figures_panic(written: u64, until: u64, now: u64) {
-            let memory = Memory { written_at: Micros(written), waits: vec![(0, 1, Micros(until))], demand: vec![(1, f64::NAN), (2, f64::INFINITY)] };
+            let memory = Memory { written_at: Micros(written), waits: vec![(0, 1, Micros(until))], demand: vec![(1, f64::NAN), (2, f64::INFINITY)], outages: Vec::new() };
             prop_assert!(memory.waits_at(Micros(now)).len() <= 1);
         }
     }
--- a/src/core/remember.rs
+++ b/src/core/remember.rs
@@ -1,9 +1,10 @@
 //! What a life writes down for the next one beside the journal, and what the next one makes of it.
 
 use super::Core;
-use crate::api::{DestinationId, Micros};
-use crate::comeback::memory::{demand_of, first_pace, Beat, Demand, Memory, Waits};
+use crate::api::{DestinationId, EndpointId, Micros, Outage};
+use crate::comeback::memory::{demand_of, first_pace, Beat, Demand, Known, Memory, Waits};
 use crate::store::sealed::Sealed;
+use std::collections::HashMap;
 use std::path::{Path, PathBuf};
 
 const FILE: Sealed = Sealed { name: "memory", magic: "indigohold-memory", version: 1 };
@@ -18,6 +19,8 @@
     /// Since when this life is, and with which demand it began.
     began_at: Micros,
     began_with: Demand,
+    /// As the module last counted them.
+    outage_changes: u64,
     /// No demand is in the file; nothing need be written again where nothing is asked.
     idle: bool,
     /// It could not be written, and that was said.
@@ -31,7 +34,7 @@
 }
 
 /// What the folder remembers, as far as it is believed now.
-fn read(dir: &Path, now: Micros) -> (Waits, Demand) {
+fn read(dir: &Path, now: Micros) -> (Waits, Demand, Vec<Known>) {
     let (memory, said) = FILE.read(dir, Memory::read);
     said.iter().for_each(|line| tracing::warn!(target: "comeback", "{line}"));
     let memory = memory.unwrap_or_default();
@@ -40,7 +43,7 @@
         let set_back = memory.written_at > now;
         tracing::info!(target: "comeback", waits = waits.len(), set_back, "waits of an earlier life hold on");
     }
-    (waits, memory.demand_at(now))
+    (waits, memory.demand_at(now), memory.outages_at(now).to_vec())
 }
 
 impl Core {
@@ -49,7 +52,11 @@
         self.remembers.began_at = now;
         self.remembers.idle = true;
         let Some(dir) = &self.remembers.dir else { return };
-        (self.waits, self.remembers.began_with) = read(dir, now);
+        let (waits, demand, outages) = read(dir, now);
+        (self.waits, self.remembers.began_with) = (waits, demand);
+        if !taken_over {
+            self.recall_outages(outages);
+        }
         // Danger: who takes over from a process that serves was not away, and knows its paces.
         let demand = self.remembers.began_with.iter().filter(|_| !taken_over);
         let mut paced = 0;
@@ -65,6 +72,29 @@
         }
     }
 
+    /// Endpoints that were out or cold when the former life last wrote.
+    fn recall_outages(&mut self, outages: Vec<Known>) {
+        if !outages.is_empty() {
+            tracing::info!(target: "comeback", endpoints = outages.len(), "outages of an earlier life are heeded");
+        }
+        for known in outages {
+            let demand = self.remembers.began_with.iter().find(|(dest, _)| *dest == known.dest);
+            let per_s = demand.map_or(0.0, |(_, per_s)| *per_s);
+            let id = self.intern(known.front, &known.name);
+            self.sender.was_out(id, known.outage, per_s);
+        }
+    }
+
+    /// What is to be written of endpoints that are out or cold now.
+    fn known_outages(&self, now: Micros) -> impl Iterator<Item = Known> + '_ {
+        let outages: HashMap<EndpointId, Outage> = self.sender.outages(now).into_iter().collect();
+        self.names.iter().filter_map(move |((front, name), id)| {
+            let outage = *outages.get(id)?;
+            let dest = self.register.get(*front)?.dest_of(name)?;
+            Some(Known { front: *front, name: name.clone(), dest, outage })
+        })
+    }
+
     /// A partner has told to wait.
     pub(super) fn heard_wait(&mut self, now: Micros, front: u8, dest: u16, wait: Micros) {
         self.waits.retain(|_, until| *until > now);
@@ -76,13 +106,17 @@
     /// Danger: a process that is killed behind this must not call in its next life before the wait is over; so it is
     /// written before anything that follows from the answer.
     pub(super) fn remember(&mut self, now: Micros) {
+        let changes = self.sender.outage_changes();
+        if std::mem::replace(&mut self.remembers.outage_changes, changes) != changes {
+            self.remembers.beat.changed();
+        }
         let Some(dir) = self.remembers.dir.as_deref().filter(|_| self.remembers.beat.due(now)) else {
             return;
         };
         let seen: Demand = self.sender.demand(now).into_iter().map(|(d, per_s)| (d.0, per_s)).collect();
         let demand = demand_of(now - self.remembers.began_at, seen, &self.remembers.began_with);
-        let memory = Memory::of(now, &self.waits, demand);
-        let idle = memory.waits.is_empty() && memory.demand.is_empty();
+        let memory = Memory::of(now, &self.waits, demand).with_outages(self.known_outages(now));
+        let idle = memory.waits.is_empty() && memory.demand.is_empty() && memory.outages.is_empty();
         if idle && self.remembers.idle {
             return self.remembers.beat.written(now, true);
         }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -17,7 +17,8 @@
 const TRIAL_MIN: Micros = Micros(500_000);
 const TRIAL_MAX: Micros = Micros(750_000);
 const TRIAL_JITTER: f64 = 0.25;
-const OUT_MEMORY: Micros = Micros(20_000_000); // so long after an outage, endpoints that join are cold
+/// So long after an outage, endpoints that join are cold.
+pub(super) const OUT_MEMORY: Micros = Micros(20_000_000);
 /// Gain of the latency averages; deviations above the mean that few answers exceed.
 const LATENCY_GAIN: f64 = 0.2;
 const UPPER_DEVIATIONS: f64 = 4.0;
@@ -85,7 +86,7 @@
     }
 
     /// Danger: trials push a cold one too: one for all that are out, spaced by what these bear at least.
-    fn trial_pause(&mut self, now: Micros, id: EndpointId) -> Micros {
+    pub(super) fn trial_pause(&mut self, now: Micros, id: EndpointId) -> Micros {
         let jitter = 1.0 + TRIAL_JITTER * (2.0 * uniform(&mut self.rng) - 1.0);
         let out = |s: &Endpoint| s.listed == Listed::Ready && s.health.is_out();
         let tried = |s: &&EndpointId| self.endpoints.get(s).is_some_and(out);
@@ -110,6 +111,7 @@
                 (e.health, e.out_at) = (Health::Out { trial_at: now, probed: false }, now);
             }
         }
+        self.outage_changes += 1;
         self.rest_trials(now, id);
         if was == Health::Up {
             self.log(now, id, "is out", actions);
@@ -142,12 +144,13 @@
         let long = in_row && silent > SHUT_LONG && (untold && (tells || !busy) || left >= SHUT_SOME && !busy);
         let free = left >= SHUT_LEFT && silent > SHUT_SILENT;
         if told > SHUT_SILENT || free && self.set.report_left.is_some() && told > Micros(0) {
+            self.outage_changes += 1;
             (route.out_until, route.taken_at) = (now + OUT_MEMORY, Micros(0));
             let opens = route.wait_until;
             for sibling in self.siblings(id) {
                 let phase = uniform(&mut self.rng);
                 let Some(e) = self.endpoints.get_mut(&sibling) else { continue };
-                (e.health, e.credit) = (Health::Ramp { since: opens }, (opens, phase));
+                (e.health, e.credit, e.back_by) = (Health::Ramp { since: opens }, (opens, phase), opens);
             }
         } else if long || free && in_row {
             self.take_out(now, id, actions);
--- a/src/policy/listing.rs
+++ b/src/policy/listing.rs
@@ -74,6 +74,7 @@
             }
             (endpoint.route, endpoint.zone, endpoint.kind) = (id, entry.zone, entry.kind);
             (endpoint.rank, endpoint.listed) = (entry.rank, entry.state);
+            self.recollect(now, entry.endpoint);
         }
         self.forget_gone(now);
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod health;
 mod listing;
+mod outages;
 mod outcomes;
 mod pace;
 mod release;
@@ -23,7 +24,7 @@
 
 // Tuned values of one file that another reads too.
 use connections::{trust, KEEP_IDLE, SPARSE};
-use health::SHUT_SOME;
+use health::{OUT_MEMORY, SHUT_SOME};
 use outcomes::{HOPE_START, TROUBLE_GAIN};
 use release::{BUNDLE_ITEM, NOTE_APART};
 pub(crate) use repeats::DEPOSIT_LIFE;
--- a/src/policy/release.rs
+++ b/src/policy/release.rs
@@ -21,6 +21,7 @@
 
     pub(super) fn back(&mut self, now: Micros, id: EndpointId) {
         let out_for = self.endpoints.get(&id).map_or(Micros(0), |e| e.tried_at - e.out_at);
+        self.outage_changes += 1;
         let half = out_for.min(self.cold()).scale(RETURN_SINCE);
         self.each_sibling(id, |sibling, e| {
             if sibling == id || matches!(e.health, Health::Out { .. }) {
@@ -46,7 +47,7 @@
             Health::Out { trial_at, probed } => {
                 self.tries(now, id, trial_at) && (probed || !self.set.limits.probes)
             }
-            Health::Ramp { since } => since + self.cold() <= now || self.credit(now, id, e) >= 1.0,
+            Health::Ramp { since } => e.is_warm(now, since, self.cold()) || self.credit(now, id, e) >= 1.0,
         }
     }
 
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -124,7 +124,7 @@
         let trial = matches!(e.health, Health::Out { .. });
         match e.health {
             Health::Out { .. } => (e.health, e.tried_at) = (Health::HalfOpen, now),
-            Health::Ramp { since } if since + cold <= now => e.health = Health::Up,
+            Health::Ramp { since } if e.is_warm(now, since, cold) => e.health = Health::Up,
             Health::Ramp { .. } => e.credit = (now, credit - weight),
             Health::Up | Health::HalfOpen => {}
         }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -37,6 +37,10 @@
     pub(crate) hope: f64, // how often a call after a refusal is taken
     /// How long idle connections are trusted, by kind of destination.
     pub(crate) keep: BTreeMap<KindId, Micros>,
+    /// What a former life found out or cold, and what was handed in there, until it is listed.
+    pub(crate) remembered: BTreeMap<EndpointId, (Outage, f64)>,
+    /// Endpoints that were found out, or back, so far.
+    pub(crate) outage_changes: u64,
     pub(crate) next_call: u64,
     pub(crate) alarm_at: Option<Micros>,
     pub(crate) ask_at: Option<Micros>,
@@ -66,6 +70,8 @@
             quiet: Vec::new(),
             hope,
             keep: BTreeMap::new(),
+            remembered: BTreeMap::new(),
+            outage_changes: 0,
             next_call: 0,
             alarm_at: None,
             ask_fails: 0,
--- a/src/state/parts.rs
+++ b/src/state/parts.rs
@@ -62,6 +62,10 @@
     /// An answer came over a connection that should still be open.
     #[serde(skip)]
     pub(crate) linked: bool,
+    /// The latest moment at which it may have come back. Danger: `since` of its ramp is a guess, and who counts it
+    /// warm by that sends what has piled up while it is not.
+    #[serde(default)]
+    pub(crate) back_by: Micros,
     /// Last note about it, sent or heard.
     pub(crate) noted: Micros,
     /// Calls that a cold endpoint may get: credit as of a moment; it grows with the cold rate.
@@ -75,6 +79,12 @@
     pub(crate) fn start_cold(&mut self, now: Micros) {
         self.health = Health::Ramp { since: now };
         self.credit = (now, 0.0);
+        self.back_by = now;
+    }
+
+    /// Whether its ramp, which began then, is surely over.
+    pub(crate) fn is_warm(&self, now: Micros, since: Micros, cold: Micros) -> bool {
+        self.back_by.max(since) + cold <= now
     }
 
     /// Whether it has delivered in the last `span`.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -94,16 +94,21 @@
     }
 
     pub fn seeded(settings: Settings, entries: Vec<Entry>, seed: u64) -> Bench {
-        let mut bench = Bench {
+        let mut bench = Bench::unlisted(settings, seed);
+        bench.feed(vec![Event::WholeList(entries)]);
+        bench
+    }
+
+    /// One that was told no list yet.
+    pub fn unlisted(settings: Settings, seed: u64) -> Bench {
+        Bench {
             sender: Sender::new(settings, seed),
             now: S,
             last: vec![],
             out: vec![],
             tries: Default::default(),
             alarms: vec![],
-        };
-        bench.feed(vec![Event::WholeList(entries)]);
-        bench
+        }
     }
 
     /// One round at the present time.
