A full disk: files that failed are opened anew, a claim needs no write

Seen (tests/full_disk.rs, in its first form): a process whose second segment could not be begun (`/dev/full` in its place) shed with 503 and stayed up, but took nothing on again once the disk had room: the folder kept the descriptor that had failed (src/store/home.rs). Read besides: a claim whose line could not be written ended the start (src/store/owner.rs), as did a folder in which the claim's file could not be made for a moment.

Test: tests/full_disk.rs, the first of its two seen to fail without the close; the second was not run against the code before.

--- a/src/core/recording.rs
+++ b/src/core/recording.rs
@@ -32,20 +32,23 @@
 
     /// Tries to write what the journal could not write, and tells the ends that waited for it.
     pub(super) fn keep_recording(&mut self, now: Micros) {
-        let failing = self.journal.failing();
-        if failing && now >= self.recording.retry_at {
+        if self.journal.failing() && now >= self.recording.retry_at {
             self.recording.retry_at = now + RETRY;
-            if let Err(e) = self.journal.catch_up() {
-                if !self.recording.was_failing {
-                    tracing::error!(target: "journal", "it can't be written, and nothing is taken on until it can: {e}");
-                }
-            }
+            // After an error the next try does it.
+            let _ = self.journal.catch_up();
         }
-        if self.recording.was_failing && !self.journal.failing() {
-            tracing::info!(target: "journal", "it is written again");
-            self.lay_down();
+        let failing = self.journal.failing() || !self.journal.failure().is_empty();
+        match (std::mem::replace(&mut self.recording.was_failing, failing), failing) {
+            (false, true) => {
+                let why = self.journal.failure();
+                tracing::error!(target: "journal", "it can't be written, and nothing is taken on until it can: {why}");
+            }
+            (true, false) => {
+                tracing::info!(target: "journal", "it is written again");
+                self.lay_down();
+            }
+            _ => {}
         }
-        self.recording.was_failing = self.journal.failing();
         for notice in std::mem::take(&mut self.recording.untold) {
             self.tell(now, notice);
         }
--- a/src/store/appending.rs
+++ b/src/store/appending.rs
@@ -20,7 +20,7 @@
     Whole,
     /// Perhaps a part of a failed append behind them.
     Torn,
-    /// This owner could not begin a segment of its own yet.
+    /// None that may be written to: a new segment is to be begun.
     Missing,
 }
 
@@ -30,11 +30,16 @@
         !self.unwritten.is_empty()
     }
 
-    /// The last write failed, and nothing has been written since.
+    /// Something is still to be written or mended.
     pub fn failing(&self) -> bool {
         self.behind() || self.tail != Tail::Whole || self.ids_stale
     }
 
+    /// Why the last write failed; empty: it did not.
+    pub fn failure(&self) -> &str {
+        self.failure.as_deref().unwrap_or_default()
+    }
+
     /// Writes what could not be written before, and mends what a failed write left.
     pub fn catch_up(&mut self) -> io::Result<()> {
         if self.ids_stale {
@@ -83,8 +88,9 @@
 
     /// Whole records, to one segment: all of them are on disk, or none of them is.
     pub(super) fn write_now(&mut self, records: &[u8]) -> io::Result<()> {
-        self.catch_up()?;
-        self.append_to_tail(records)
+        let written = self.catch_up().and_then(|()| self.append_to_tail(records));
+        self.failure = written.as_ref().err().map(ToString::to_string);
+        written
     }
 
     fn write_or_keep(&mut self, records: Vec<u8>) {
@@ -96,7 +102,8 @@
     fn append_to_tail(&mut self, records: &[u8]) -> io::Result<()> {
         let used = self.segments.last().map_or(0, |s| s.bytes);
         if used > 0 && used + records.len() as u64 > self.segment_bytes {
-            self.begin_segment()?;
+            self.tail = Tail::Missing;
+            self.mend_tail()?;
         }
         let Some(last) = self.segments.last_mut() else { return Ok(()) };
         if let Err(e) = self.home.append(&last.name, records) {
--- a/src/store/home.rs
+++ b/src/store/home.rs
@@ -69,6 +69,7 @@
         }
     }
 
+    /// After an error too: what is behind the name may be another file by the next try.
     fn close(&mut self, name: &str) {
         self.open.retain(|(n, _)| n != name);
     }
@@ -88,7 +89,8 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        self.file(name)?.write_all(bytes)
+        let appended = self.file(name)?.write_all(bytes);
+        appended.inspect_err(|_| self.close(name))
     }
 
     fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
@@ -102,7 +104,8 @@
     }
 
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
-        self.file(name)?.set_len(length)
+        let cut = self.file(name)?.set_len(length);
+        cut.inspect_err(|_| self.close(name))
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -110,6 +110,8 @@
     /// Whole records that could not be written, the oldest first; no entry is longer than a segment.
     unwritten: VecDeque<Vec<u8>>,
     tail: Tail,
+    /// Why the last write failed; `None`: it did not.
+    failure: Option<String>,
     incarnation: u64,
     damages: Vec<Damage>,
     doubted: usize,
@@ -164,6 +166,7 @@
             gathered: None,
             unwritten: VecDeque::new(),
             tail: Tail::Missing,
+            failure: None,
             incarnation: incarnation.max(before + 1),
             damages,
             doubted,
--- a/src/store/owner.rs
+++ b/src/store/owner.rs
@@ -17,6 +17,8 @@
 pub const ROOM: u64 = 512;
 /// A predecessor that is being killed has so long to be gone.
 const PATIENCE: Duration = Duration::from_millis(400);
+/// A folder that can't be written has so long to become one that can.
+const OPEN_PATIENCE: Duration = Duration::from_secs(10);
 const LOOK: Duration = Duration::from_millis(10);
 
 /// What an owner writes of itself.
@@ -115,8 +117,7 @@
 pub fn claim(dir: &Path, now: Micros, known: u64) -> Result<Owner, Refusal> {
     std::fs::create_dir_all(dir).map_err(Refusal::Io)?;
     let path = dir.join(FILE);
-    let opened = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
-    let mut file = opened.map_err(Refusal::Io)?;
+    let mut file = open(&path).map_err(Refusal::Io)?;
     let until = Instant::now() + PATIENCE;
     loop {
         match file.try_lock() {
@@ -129,6 +130,21 @@
     let before = written(&mut file).map_err(Refusal::Io)?.map_or(0, |c| c.incarnation);
     let incarnation = before.max(known) + 1;
     let claim = Claim { incarnation, process: std::process::id(), since: now };
-    write(&mut file, &claim).map_err(Refusal::Io)?;
+    // Danger: a folder that can't be written just now is no reason not to serve what it holds. The lock is the claim; its number is
+    // also in the journal, which is written as soon as that can be.
+    if let Err(e) = write(&mut file, &claim) {
+        tracing::warn!(target: "journal", "the claim of the folder can't be written: {e}");
+    }
     Ok(Owner { claim, file })
 }
+
+/// Opens the file; what this machine lacks for a moment, or a disk without room for it, is waited for.
+fn open(path: &Path) -> io::Result<File> {
+    let until = Instant::now() + OPEN_PATIENCE;
+    loop {
+        match OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path) {
+            Err(_) if Instant::now() < until => std::thread::sleep(LOOK),
+            other => return other,
+        }
+    }
+}
