--- a/src/net/platform/batch.rs
+++ b/src/net/platform/batch.rs
@@ -6,8 +6,8 @@
 use super::Platform;
 use crate::api::Micros;
 use crate::core::{End, Fetch};
-use crate::net::conn;
 use crate::net::pool::{Buf, BODY_MOST};
+use crate::net::{conn, errors};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use serde::{Deserialize, Serialize};
@@ -56,7 +56,7 @@
     let spare = trip.go();
     let left = std::mem::take(&mut trip.riding);
     // Whoever is still here was never sent.
-    left.into_iter().for_each(|fetch| trip.over.push((fetch, End::Unsent)));
+    left.into_iter().for_each(|fetch| trip.over.push((fetch, End::NotBegun)));
     trip.tell(Micros(0), &[]);
     if let Some((fetch, spare)) = spare {
         platform.conns.keep(&fetch.backend, spare, 0);
@@ -101,10 +101,15 @@
         }
         let mut buf = self.platform.pool.get();
         let Some(len) = self.write(&mut buf) else { return kept(stream) };
+        // As with one message.
+        if reused && !conn::quiet(&stream) {
+            self.all(End::NotBegun);
+            return None;
+        }
         let sent = Instant::now();
         if conn::write_all(&stream, &buf[..len], until).is_err() {
             // As with one message: its last byte was never written.
-            self.all(if reused { End::Unsent } else { End::NotConnected });
+            self.all(if reused { End::NotBegun } else { End::NotConnected });
             return None;
         }
         for fetch in &self.riding {
@@ -134,7 +139,7 @@
         let (stay, leave): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.riding).into_iter().partition(|f| stays(f));
         self.riding = stay;
-        self.over.extend(leave.into_iter().map(|fetch| (fetch, End::Unsent)));
+        self.over.extend(leave.into_iter().map(|fetch| (fetch, End::NotBegun)));
     }
 
     fn all(&mut self, end: End) {
@@ -165,7 +170,7 @@
     /// that may go again must not be told before the call is closed, or two copies are out.
     fn wait(&mut self, stream: &TcpStream, until: Instant, sent: Instant) -> bool {
         match conn::peek(stream, &mut [0], until) {
-            Err(e) if conn::timed_out(&e) => {
+            Err(e) if errors::timed_out(&e) => {
                 // An error says that it is closed already.
                 let _ = stream.shutdown(Shutdown::Both);
                 self.all(End::TimedOut);
