Log and count what becomes of attempts, and why they are withheld, refused or closed

Now: a line for each message that an earlier process may have sent (when, where), for each repeat of such a call, for the end of each of its attempts and for its verdict, all at info and bounded by the log's own limits; the same for all other messages at debug, with the reason why a first byte was withheld, why a request was refused and why a client's connection was closed. No behaviour changes: the last look before a first byte asks the same questions, each under a name.

--- a/src/admin/figures.rs
+++ b/src/admin/figures.rs
@@ -15,6 +15,7 @@
 //!
 //! A message whose end is decided and not told yet is still `pending`.
 
+use crate::core::attempt_log::AttemptCounts;
 use serde_json::{Map, Value};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -45,6 +46,8 @@
     pub unavailable: u64,
     /// The core would call itself ready.
     pub ready: bool,
+    /// What became of attempts.
+    pub attempts: AttemptCounts,
 }
 
 impl Figures {
@@ -84,6 +87,7 @@
             ("pending", self.pending.into()),
             ("members", self.members.into()),
             ("members_unavailable", self.unavailable.into()),
+            ("attempts", self.attempts.json()),
         ];
         let all = all.into_iter().chain(shared.map(|shared| ("shared", shared)));
         Value::Object(all.map(|(name, value)| (name.to_owned(), value)).collect()).to_string()
--- a/src/core/carrying.rs
+++ b/src/core/carrying.rs
@@ -118,6 +118,7 @@
             return;
         }
         self.journal.verdict(msg, verdict);
+        self.note_verdict(msg, verdict);
         let Some(held) = self.msgs.get_mut(&msg) else { return };
         held.over = true;
         let said = self.journal.owed().get(&msg).map(|o| o.said.clone()).unwrap_or_default();
--- a/src/core/ending.rs
+++ b/src/core/ending.rs
@@ -1,5 +1,6 @@
 //! How fetches begin and end: the last look before a first byte, and what an outcome means for all that is owed.
 
+use super::attempt_log::Withheld;
 use super::{returned, Core, End, Fetch, Over, Verdict, LAST_BEGIN};
 use crate::admin::figures::Ended;
 use crate::api::{Event, MessageId, Micros, Outcome};
@@ -22,37 +23,47 @@
     }
 
     fn begin_together(&mut self, now: Micros, fetches: &[Fetch]) -> Vec<bool> {
-        let mut go: Vec<bool> = fetches.iter().map(|fetch| self.may_begin(now, fetch)).collect();
+        let mut reasons: Vec<Option<Withheld>> =
+            fetches.iter().map(|fetch| self.withheld(now, fetch)).collect();
         let is_replay = |fetch: &Fetch| self.replays.is(fetch.msg);
-        let first_calls = fetches.iter().zip(&go).filter(|(fetch, goes)| **goes && !is_replay(fetch));
+        let first_calls =
+            fetches.iter().zip(&reasons).filter(|(fetch, why)| why.is_none() && !is_replay(fetch));
         let attempts: Vec<(u64, &str)> =
             first_calls.map(|(fetch, _)| (fetch.msg, fetch.backend.name.as_str())).collect();
         let recorded = self.journal.begin_all(now, &attempts).is_ok();
-        for (fetch, goes) in fetches.iter().zip(&mut go).filter(|(_, goes)| **goes) {
-            *goes = match self.replays.is(fetch.msg) {
+        for (fetch, why) in fetches.iter().zip(&mut reasons).filter(|(_, why)| why.is_none()) {
+            let goes = match self.replays.is(fetch.msg) {
                 true => self.begin_replay(now, fetch.msg),
                 false => recorded,
             };
+            *why = (!goes).then_some(Withheld::NotRecorded);
         }
-        go
+        for (fetch, why) in fetches.iter().zip(&reasons) {
+            match why {
+                Some(why) => self.note_withheld(fetch, *why),
+                None => self.note_begun(now, fetch),
+            }
+        }
+        reasons.iter().map(Option::is_none).collect()
     }
 
-    /// Whether all that is known now lets this fetch begin.
-    fn may_begin(&mut self, now: Micros, fetch: &Fetch) -> bool {
+    /// Why this fetch may not begin by all that is known now, if it may not.
+    fn withheld(&mut self, now: Micros, fetch: &Fetch) -> Option<Withheld> {
         self.look_at_hand(now);
         let alive = self.msgs.get(&fetch.msg).is_some_and(|m| !m.over);
         let ends = self.stop_at.is_some_and(|at| now + LAST_BEGIN >= at);
-        let in_time = now < fetch.req.due;
         let listed = self.register.get(fetch.req.front).is_some_and(|b| b.serves(&fetch.backend.name));
-        let before_strike = self.draining.may_begin(now, &fetch.req);
         let told_wait = self.waits.get(&(fetch.req.front, fetch.req.dest)).is_some_and(|until| now < *until);
-        alive
-            && !ends
-            && in_time
-            && listed
-            && before_strike
-            && !told_wait
-            && self.sender.may_begin(now, MessageId(fetch.msg), fetch.at)
+        let conditions = [
+            (Withheld::MessageOver, !alive),
+            (Withheld::ProcessEnds, ends),
+            (Withheld::TimeUp, now >= fetch.req.due),
+            (Withheld::NotListed, !listed),
+            (Withheld::Drain, !self.draining.may_begin(now, &fetch.req)),
+            (Withheld::ToldToWait, told_wait),
+            (Withheld::Policy, !self.sender.may_begin(now, MessageId(fetch.msg), fetch.at)),
+        ];
+        conditions.into_iter().find(|(_, holds)| *holds).map(|(why, _)| why)
     }
 
     /// Fetches are over: written down together, and one round of the module on all of them, in their order.
@@ -81,6 +92,7 @@
             return self.replay_over(now, over, events);
         }
         let Over { fetch, end, latency, load, said } = over;
+        self.note_over(&fetch, end, latency);
         if let Some(held) = self.msgs.get_mut(&fetch.msg) {
             held.out = false;
         }
--- a/src/core/handover.rs
+++ b/src/core/handover.rs
@@ -161,6 +161,9 @@
         let owed = self.journal.owed().clone();
         let mut events = Vec::new();
         for (id, owed) in owed {
+            if owed.verdict.is_none() {
+                self.figures.attempts.resumed(now, &owed);
+            }
             let req = owed.req;
             self.by_id.insert(req.id.clone(), id);
             let over = owed.verdict.is_some();
@@ -171,6 +174,7 @@
                 parked: answering.then(Vec::new),
                 over,
                 shared: false,
+                resumed_may_have_run: owed.risk.is_some() || owed.open.is_some(),
                 out: false,
                 joins: None,
             };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! [`Courier::tick`] moves time. The fronts see reqs, fetches and verdicts, never the module's events or actions.
 
 pub mod asked;
+pub mod attempt_log;
 mod batches;
 mod carrying;
 pub mod draining;
@@ -88,6 +89,8 @@
     shared: bool,
     /// A call is ordered, out, or waits for its turn.
     out: bool,
+    /// An earlier process may have sent it.
+    resumed_may_have_run: bool,
     /// The batch that waits for this one's answer to be written.
     joins: Option<u64>,
 }
--- a/src/core/replaying.rs
+++ b/src/core/replaying.rs
@@ -253,6 +253,7 @@
             parked: None,
             over: false,
             shared: false,
+            resumed_may_have_run: false,
             out: false,
             joins: None,
         };
--- a/src/core/taking.rs
+++ b/src/core/taking.rs
@@ -26,6 +26,7 @@
             }
             match self.look_at(now, &req, batch.len()) {
                 Some(answer) => {
+                    tracing::debug!(target: "attempts", id = %req.id, ?answer, "answered without a decision");
                     match answer {
                         Answer::Refused(_) | Answer::Draining { .. } => {
                             self.figures.count(Ended::Rejected, req.class);
@@ -103,6 +104,7 @@
                 parked,
                 over: false,
                 shared: false,
+                resumed_may_have_run: false,
                 out: false,
                 joins: None,
             };
@@ -121,6 +123,7 @@
             // that its client hands in elsewhere. Then it is taken on, and its end told as of any other.
             match self.journal.withdraw(id) {
                 Ok(()) => {
+                    tracing::debug!(target: "attempts", msg = id, wait_ms = wait.0 / 1_000, "refused by the policy");
                     self.forgotten(now, id, Some(Ended::Rejected));
                     refuse(id, wait);
                 }
--- a/src/net/lobby/entering.rs
+++ b/src/net/lobby/entering.rs
@@ -141,6 +141,7 @@
         if let Some(seat) = self.seats.get_mut(&key) {
             // Nothing waits to be written, so these few bytes fit. An error says that it is closed already.
             let why = if standing == Standing::Asking { Bye::Half } else { Bye::Idle };
+            tracing::debug!(target: "clients", connection = key, ?why, "a connection is closed");
             let words = self.front.farewell(why);
             if !words.is_empty() && seat.out.is_empty() && !seat.last {
                 let _ = seat.stream.write(words.as_bytes());
--- a/src/net/lobby/hearing.rs
+++ b/src/net/lobby/hearing.rs
@@ -96,6 +96,7 @@
                         // was held up finds its request with the end behind it; taken on now, it would be delivered
                         // beside the other. Who has only ended its sending reads that it is to come again.
                         self.tally.gone += 1;
+                        tracing::debug!(target: "clients", connection = key, why = ?Bye::Gone, "a request is refused");
                         seat.out.extend(words.as_bytes());
                         seat.last = true;
                         self.flush(now, key);
@@ -120,6 +121,7 @@
                     }
                     if self.held > self.held_most && left > 0 {
                         let words = self.front.farewell(Bye::Full);
+                        tracing::debug!(target: "clients", connection = key, why = ?Bye::Full, "a request is refused");
                         seat.out.extend(words.as_bytes());
                         seat.last = true;
                     }
