--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -263,10 +263,18 @@
 pub fn endpoint(act: impl Fn(&str, usize) -> Act + Send + Sync + 'static) -> Endpoint {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
+    endpoint_of(addr, move || listener.accept().ok().map(|(stream, _)| stream), act)
+}
+
+/// The same on connections that the test accepts itself, until it has no more.
+pub fn endpoint_of(
+    addr: SocketAddr, accept: impl FnMut() -> Option<TcpStream> + Send + 'static,
+    act: impl Fn(&str, usize) -> Act + Send + Sync + 'static,
+) -> Endpoint {
     let (calls, act) = (Arc::new(Mutex::new(Vec::<Http>::new())), Arc::new(act));
     let all = calls.clone();
     thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
+        for stream in std::iter::from_fn(accept) {
             let (calls, act) = (all.clone(), act.clone());
             thread::spawn(move || {
                 let mut writer = stream.try_clone().unwrap();
