A call without an outcome belongs to the process that made it, not to the next

A process that followed a killed one took it up as it was, and an OUTCOME names no attempt: the end of an attempt that never began (no connection, a refused last look, a local fault) closed the open call of the earlier process as one that never ran. The same in a hand-over: the next process took such a call for one that the process before still had out, and waited for its end.

After a hand-over open calls stay open: their outcomes still come. Journals of older programs count as written after a restart. So an open call is always one of the process that owns the folder, or one that was handed over to it, and the core needs no rule of its own for it.

Tests changed: tests/store.rs and tests/journal_faults.rs asked a reopened folder for an open call; they now ask for a risk with the same moment and endpoint, and for no open call. The first record of a segment is one byte longer.

--- a/src/core/handover.rs
+++ b/src/core/handover.rs
@@ -156,7 +156,7 @@
         self.sender.go_on_with(std::mem::take(&mut passed.module));
     }
 
-    /// Takes up what the journal says is owed. With `passed`, calls without an outcome are still out in another process.
+    /// Takes up what the journal says is owed. Calls that it calls open are still out in the process that handed over.
     pub(super) fn resume(&mut self, now: Micros, passed: Option<&Passed>) {
         let owed = self.journal.owed().clone();
         let mut events = Vec::new();
@@ -187,7 +187,7 @@
                 }
                 continue;
             }
-            match owed.open.filter(|_| passed.is_some()) {
+            match owed.open {
                 Some((sent, name)) => {
                     held.out = true;
                     let risk = owed.risk.map(|(at, name)| (at, self.intern(req.front, &name)));
@@ -206,9 +206,7 @@
                     self.away.insert(id, Fetch { msg: id, attempt, at, backend, req, until });
                 }
                 None => {
-                    // A fetch without an outcome may have run.
-                    let open = self.journal.owed().get(&id).and_then(|o| o.open.clone());
-                    let risk = owed.risk.or(open).map(|(at, name)| (at, self.intern(req.front, &name)));
+                    let risk = owed.risk.map(|(at, name)| (at, self.intern(req.front, &name)));
                     events.push(Event::Resumed {
                         message: super::message(id, &req),
                         tries: owed.tries,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::register::kept::{self, KeepRules, Keeper};
 use crate::register::list::Read;
 use crate::register::seek::Seek;
-use crate::store::{owner, Journal};
+use crate::store::{owner, Journal, Succession};
 use crate::upgrade::{self, inherit};
 pub(crate) use parts::classes_of;
 use parts::{file, keep_list, reload, share, tell_damages};
@@ -117,8 +117,9 @@
         (passed, taken_listener) = (Some(taken.passed), taken.listener);
         (sessions, ends) = (taken.sessions, Some(taken.ends));
     }
-    let journal =
-        Journal::open_as(&state, room, clock.now(), owner.claim.incarnation).map_err(|e| in_state(&e))?;
+    let succession = if taken_over { Succession::HandOver } else { Succession::Restart };
+    let journal = Journal::open_as(&state, room, clock.now(), owner.claim.incarnation, succession)
+        .map_err(|e| in_state(&e))?;
     tell_damages(&journal);
     // The journal knows better where the file of claims was damaged.
     let incarnation = journal.incarnation();
--- a/src/store/appending.rs
+++ b/src/store/appending.rs
@@ -133,7 +133,8 @@
 
     fn begin_segment(&mut self) -> io::Result<()> {
         let next = self.segments.last().map_or(1, |s| s.number + 1);
-        let segment = new_segment(&mut *self.home, next, self.incarnation, self.segments.last())?;
+        let segment =
+            new_segment(&mut *self.home, next, self.incarnation, self.succession, self.segments.last())?;
         self.segments.push(segment);
         Ok(())
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -65,6 +65,28 @@
     pub keep_id: Micros,
 }
 
+/// How a process comes to a folder that another one has written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Succession {
+    /// The other one is gone, and nobody will hear how its calls ended.
+    Restart,
+    /// The other one carries the calls that it has out to their ends, and tells how they end.
+    HandOver,
+}
+
+impl Succession {
+    fn to_byte(self) -> u8 {
+        u8::from(self == Succession::HandOver)
+    }
+
+    fn from_byte(byte: u8) -> Succession {
+        match byte {
+            0 => Succession::Restart,
+            _ => Succession::HandOver,
+        }
+    }
+}
+
 /// A message in the journal that has not ended.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Owed {
@@ -74,7 +96,7 @@
     pub tries: u32,
     /// The first fetch that may have run: when it began and at which backend.
     pub risk: Option<(Micros, String)>,
-    /// A fetch that has begun and has no outcome.
+    /// A call that is out now, in this process or in the one that handed over to it.
     pub open: Option<(Micros, String)>,
     /// Decided already; only the notice is owed.
     pub verdict: Option<Verdict>,
@@ -113,6 +135,7 @@
     /// Why the last write failed; `None`: it did not.
     failure: Option<String>,
     incarnation: u64,
+    succession: Succession,
     damages: Vec<Damage>,
     doubted: usize,
     aside: u64,
@@ -123,12 +146,14 @@
 impl Journal {
     /// Opens the folder and reads what is owed, see [`Journal::at`].
     pub fn open(dir: &Path, disk: u64, now: Micros) -> io::Result<Journal> {
-        Journal::open_as(dir, disk, now, 0)
+        Journal::open_as(dir, disk, now, 0, Succession::Restart)
     }
 
     /// The same for an owner of this number; 0: one more than any that has written here.
-    pub fn open_as(dir: &Path, disk: u64, now: Micros, incarnation: u64) -> io::Result<Journal> {
-        Journal::read(Box::new(Folder::new(dir)?), disk, now, incarnation)
+    pub fn open_as(
+        dir: &Path, disk: u64, now: Micros, incarnation: u64, succession: Succession,
+    ) -> io::Result<Journal> {
+        Journal::read(Box::new(Folder::new(dir)?), disk, now, incarnation, succession)
     }
 
     /// Reads what is owed. A last record that is not whole was being written when the process died, so what it covers had
@@ -136,14 +161,17 @@
     /// the bytes are kept aside, and each message that was taken before it, and may have had a record there, counts as one
     /// that may have run, nobody knows when or where: it is not sent again unless that does no harm.
     pub fn at(home: Box<dyn Home>, disk: u64, now: Micros) -> io::Result<Journal> {
-        Journal::read(home, disk, now, 0)
+        Journal::read(home, disk, now, 0, Succession::Restart)
     }
 
-    fn read(mut home: Box<dyn Home>, disk: u64, now: Micros, incarnation: u64) -> io::Result<Journal> {
+    fn read(
+        mut home: Box<dyn Home>, disk: u64, now: Micros, incarnation: u64, succession: Succession,
+    ) -> io::Result<Journal> {
         let ids = read_ids(home.read(IDS)?.unwrap_or_default(), now);
         let budget = disk.max(64 * 1024);
         let mut reading = Reading::default();
         let mut segments = read_segments(&*home, &mut reading)?;
+        reading.succeed(succession);
         // What can't be kept aside now is lost with its segment; nothing that is owed rests on it.
         let aside = keep_aside(&mut *home, &reading.damages, &segments).unwrap_or(0);
         let Reading { mut owed, taken_at, damages, incarnation: before, found } = reading;
@@ -168,6 +196,7 @@
             tail: Tail::Missing,
             failure: None,
             incarnation: incarnation.max(before + 1),
+            succession,
             damages,
             doubted,
             aside,
--- a/src/store/reading.rs
+++ b/src/store/reading.rs
@@ -4,7 +4,7 @@
 use super::records::{apply, Fields, BEGIN, END, START, TAKE};
 use super::salvage::{pieces, record_at, Piece, HEAD};
 use super::segments::{Segment, BLOCK};
-use super::{Damage, Ended, Home, Owed};
+use super::{Damage, Ended, Home, Owed, Succession};
 use crate::api::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -25,26 +25,38 @@
     pub found: Found,
 }
 
-/// What the first record of a segment says of the one before it.
+/// The first record of a segment.
+struct Start {
+    incarnation: u64,
+    before: Before,
+    succession: Succession,
+}
+
+/// What it says of the segment before it.
 struct Before {
     number: u64,
     bytes: u64,
     sum: u32,
 }
 
-impl Before {
-    /// Behind the kind and the message of a [`START`]: the owner, and the segment before.
-    fn read(mut fields: Fields) -> Option<(u64, Before)> {
+impl Start {
+    /// Behind the kind and the message of a [`START`].
+    fn read(mut fields: Fields) -> Option<Start> {
         let incarnation = fields.u64()?;
-        Some((incarnation, Before { number: fields.u64()?, bytes: fields.u64()?, sum: fields.u32()? }))
+        let before = Before { number: fields.u64()?, bytes: fields.u64()?, sum: fields.u32()? };
+        // Older programs wrote no more.
+        let succession = fields.u8().map_or(Succession::Restart, Succession::from_byte);
+        Some(Start { incarnation, before, succession })
     }
+}
 
+impl Before {
     fn of(segment: &[u8]) -> Option<Before> {
         let (body, _) = record_at(segment, 0)?;
         let mut fields = Fields(&segment[body]);
         let kind = fields.u8()?;
         fields.u64()?;
-        Before::read(fields).filter(|_| kind == START).map(|(_, before)| before)
+        Start::read(fields).filter(|_| kind == START).map(|start| start.before)
     }
 
     /// How much of the segment before was written by appends that succeeded; `None`: as much as is there.
@@ -137,9 +149,20 @@
         self.found.push(Ended { seq, msg, owed, at, how });
     }
 
+    /// A process that another one follows has no calls out any more, unless it handed them over. Danger: an outcome that the new
+    /// process records would otherwise be taken for that of a call which it never made.
+    pub fn succeed(&mut self, succession: Succession) {
+        if succession == Succession::Restart {
+            self.owed.values_mut().for_each(Owed::open_call_is_lost);
+        }
+    }
+
     fn start(&mut self, fields: Fields, before: Option<&Segment>) {
-        let Some((incarnation, told)) = Before::read(fields) else { return };
-        self.incarnation = self.incarnation.max(incarnation);
+        let Some(Start { incarnation, before: told, succession }) = Start::read(fields) else { return };
+        if incarnation > self.incarnation {
+            self.incarnation = incarnation;
+            self.succeed(succession);
+        }
         let Some(before) = before.filter(|b| b.number == told.number) else { return };
         let known = self.damages.iter().any(|d| d.segment == told.number);
         if (before.bytes, before.sum.clone().finalize()) != (told.bytes, told.sum) && !known {
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -171,6 +171,13 @@
     }
 }
 
+impl Owed {
+    /// Nobody will hear how the call that is out ends, so it may have run.
+    pub(super) fn open_call_is_lost(&mut self) {
+        self.risk = self.risk.take().or(self.open.take());
+    }
+}
+
 /// Applies one record. One that does not decode changes nothing.
 pub(super) fn apply(body: &[u8], owed: &mut BTreeMap<u64, Owed>, live: &mut BTreeSet<u64>) -> Option<()> {
     let mut fields = Fields(body);
@@ -184,9 +191,7 @@
     match kind {
         BEGIN => {
             held.tries += 1;
-            // Danger: a call that a former life left open may have run. The next one takes its place here and may turn out never
-            // to have run; a third life then sent again outside of the window.
-            held.risk = held.risk.take().or(held.open.take());
+            held.open_call_is_lost();
             held.open = Some((Micros(fields.u64()?), fields.text()?));
         }
         OUTCOME => {
--- a/src/store/segments.rs
+++ b/src/store/segments.rs
@@ -1,7 +1,7 @@
 //! Segments: how a new one begins, when an old one goes, and room for more.
 
 use super::records::{body, encode_take, put_record, START};
-use super::{Home, Journal};
+use super::{Home, Journal, Succession};
 use std::collections::BTreeSet;
 use std::io::{self, ErrorKind};
 
@@ -76,7 +76,7 @@
 
 /// A segment begins with who writes it, and with what the one before it was at that moment.
 pub(super) fn new_segment(
-    home: &mut dyn Home, number: u64, incarnation: u64, before: Option<&Segment>,
+    home: &mut dyn Home, number: u64, incarnation: u64, succession: Succession, before: Option<&Segment>,
 ) -> io::Result<Segment> {
     let name = format!("{number:08}.log");
     let mut start = body(START, 0);
@@ -85,6 +85,7 @@
     start.extend(last.to_le_bytes());
     start.extend(bytes.to_le_bytes());
     start.extend(sum.to_le_bytes());
+    start.push(succession.to_byte());
     let mut record = Vec::new();
     put_record(&mut record, &start);
     // What a failed append left there would stand before the first record.
--- a/tests/journal_faults.rs
+++ b/tests/journal_faults.rs
@@ -101,6 +101,13 @@
     }
 }
 
+/// After a restart nobody will hear how a call that was out has ended: it may have run.
+fn after_restart(owed: &BTreeMap<u64, Owed>) -> BTreeMap<u64, Owed> {
+    let mut owed = owed.clone();
+    owed.values_mut().for_each(|owed| owed.risk = owed.risk.take().or(owed.open.take()));
+    owed
+}
+
 fn each_script(mut check: impl FnMut(Script, String)) {
     for from in 0..WRITES {
         for count in [1, 2, 5, usize::MAX] {
@@ -129,7 +136,7 @@
         drop(journal);
         let again = open(&home);
         assert_eq!(again.damages(), (&[][..], 0), "{case}: what a failed write left is no damage");
-        same(&owed, again.owed(), &case);
+        same(&after_restart(&owed), again.owed(), &case);
         for msg in known.ended.iter().filter(|msg| known.begun.contains(msg)) {
             let recognised = again.knows(&format!("m{msg}"), Micros(400));
             assert!(recognised, "{case}: message {msg} may have run and has ended, its id is not recognised");
@@ -202,7 +209,8 @@
     journal.begin_all(Micros(300), &[(1, "s-1"), (2, "s-1")]).unwrap();
     drop(journal);
     let owed = open(&home).owed().clone();
-    assert!(owed.values().all(|owed| owed.tries == 1 && owed.open.is_some()));
+    let begun = Some((Micros(300), "s-1".to_owned()));
+    assert!(owed.values().all(|owed| owed.tries == 1 && owed.risk == begun && owed.open.is_none()));
 }
 
 #[test]
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -56,8 +56,13 @@
     let owed = journal.owed();
     assert_eq!(owed.keys().copied().collect::<Vec<_>>(), [1, 2, 3]);
     assert_eq!(owed[&1].req, req("m1", 10));
-    assert_eq!((owed[&1].tries, owed[&1].risk.clone()), (2, None), "a fetch that was refused leaves no risk");
-    assert_eq!(owed[&1].open, Some((Micros(300), "s-2".into())), "one without an outcome may have run");
+    assert_eq!(owed[&1].tries, 2);
+    assert_eq!(owed[&1].open, None, "nobody will hear how a call of an earlier process ended");
+    assert_eq!(
+        owed[&1].risk,
+        Some((Micros(300), "s-2".into())),
+        "so it may have run; the refused one before did not"
+    );
     assert_eq!(owed[&2].risk, Some((Micros(400), "s-1".into())), "the first that may have run counts");
     assert_eq!(owed[&3].verdict, Some(Verdict::HandedBack(Micros(77))));
     assert_eq!(owed[&1].said, "busy");
@@ -103,7 +108,7 @@
         fs::read_dir(&dir).unwrap().map(|f| f.unwrap().path()).find(|p| p.ends_with("00000001.log")).unwrap();
     let whole = fs::read(&file).unwrap();
     // A segment begins with a record of its own.
-    const START: usize = 45;
+    const START: usize = 46;
     let first = START + (whole.len() - START) / 2;
     for cut in 0..whole.len() {
         fs::write(&file, &whole[..cut]).unwrap();
--- a/tests/unbegun_attempts.rs
+++ b/tests/unbegun_attempts.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::{class, keyed, settings, S};
+use indigohold::core::handover::Passed;
 use indigohold::core::*;
-use indigohold::store::Journal;
+use indigohold::store::{Journal, Succession};
 use indigohold::{Effect, Micros};
 use std::path::Path;
 use tempfile::tempdir;
@@ -20,10 +21,17 @@
 
 /// A process on this folder, at this moment.
 fn courier(dir: &Path, now: Micros) -> Courier {
+    courier_after(dir, now, None)
+}
+
+/// The same behind a process that handed over, if one did.
+fn courier_after(dir: &Path, now: Micros, passed: Option<Passed>) -> Courier {
     let mut settings = settings();
     settings.classes = vec![class(keyed()), class(Effect::Unsafe)];
-    let journal = Journal::open(dir, DISK, now).unwrap();
-    let courier = Courier::new(settings, 1, Clock::at(now), journal, Options::default());
+    let succession = if passed.is_some() { Succession::HandOver } else { Succession::Restart };
+    let journal = Journal::open_as(dir, DISK, now, 0, succession).unwrap();
+    let options = Options { passed, ..Options::default() };
+    let courier = Courier::new(settings, 1, Clock::at(now), journal, options);
     list(&courier);
     courier
 }
@@ -113,3 +121,25 @@
         assert!(is_given_up(&later), "sent again in life {life}");
     }
 }
+
+/// Guards against an attempt that waits for its connection during an upgrade being taken for the earlier process's call.
+#[test]
+fn an_attempt_that_never_began_over_a_hand_over_does_not_clear_the_call_of_an_earlier_process() {
+    for end in UNBEGUN {
+        let home = tempdir().unwrap();
+        left_out(home.path(), KEYED);
+        let second = courier(home.path(), BEGIN + Micros(2 * S));
+        let attempt = fetch(&second);
+        let passed = second.freeze();
+        let (to, ends) = crossbeam_channel::unbounded();
+        second.leave(to);
+        over(&second, attempt, end);
+        drop(second);
+        let third = courier_after(home.path(), BEGIN + Micros(3 * S), Some(passed));
+        ends.try_iter().for_each(|call| third.call_over(call));
+        over(&third, fetch(&third), End::NotBegun);
+        drop(third);
+        let fourth = courier(home.path(), BEGIN + WINDOW + Micros(S));
+        assert!(is_given_up(&fourth), "{end:?}: sent again outside its window");
+    }
+}
