Log: lines at debug are not limited in number

Seen while tracing the soak: 'begins' and 'over' of each attempt are equal lines, so the flood limit left ten of them in ten seconds. Who sets a target to debug asks for all of it; info and above stay bounded as they were (the unit test holds).

--- a/src/log.rs
+++ b/src/log.rs
@@ -1,7 +1,8 @@
 //! The log: structured events by `tracing`, on standard error, one line each, for people or as JSON.
 //!
-//! No line is written for a message at the default level. A flood is bounded: of equal lines, and of all lines from
-//! one place in the program, only so many in ten seconds are written; the next one says how many were left out.
+//! At the default level a line is written for a message only where an earlier process may have sent it. A flood is bounded, but at
+//! `debug` and below: of equal lines, and of all lines from one place in the program, only so many in ten seconds are written; the
+//! next one says how many were left out.
 
 use serde_json::{Map, Value};
 use std::cell::Cell;
@@ -12,7 +13,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::field::{Field, Visit};
-use tracing::{Event, Metadata, Subscriber};
+use tracing::{Event, Level, Metadata, Subscriber};
 use tracing_subscriber::filter::{FilterExt, Targets};
 use tracing_subscriber::fmt::format::Writer;
 use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
@@ -169,6 +170,10 @@
     }
 
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
+        // Who asks for details of each message wants all of them.
+        if *event.metadata().level() > Level::INFO {
+            return true;
+        }
         let place = std::ptr::from_ref(event.metadata()) as usize;
         let mut hash = DefaultHasher::new();
         Fields::of(event).message().hash(&mut hash);
