--- /dev/null
+++ b/tests/support/soak/partner.rs
@@ -0,0 +1,94 @@
+//! A partner that takes, turns away, fails, drops and hangs by chance.
+
+use super::record::{Call, Ran, Record};
+use crate::support::{read_http, LONG};
+use rand_core::RngCore;
+use rand_pcg::Pcg64Mcg;
+use std::io::{BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const ERROR: &str = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
+const BUSY: &str = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+const NO_WAIT: Duration = Duration::ZERO;
+
+enum Act {
+    Deliver,
+    Fail,
+    Busy,
+    Wait(Duration),
+    Drop,
+    Hang,
+}
+
+fn draw(chance: &mut Pcg64Mcg) -> (Act, Duration) {
+    let works = Duration::from_millis(u64::from(chance.next_u32() % 60));
+    let act = match chance.next_u32() % 100 {
+        0..=71 => Act::Deliver,
+        72..=76 => Act::Fail,
+        77..=82 => Act::Busy,
+        83..=86 => Act::Wait(Duration::from_millis(300 + u64::from(chance.next_u32() % 500))),
+        87..=91 => Act::Drop,
+        _ => Act::Hang,
+    };
+    (act, works)
+}
+
+pub fn start(dest: u16, chance: Arc<Mutex<Pcg64Mcg>>, record: Arc<Mutex<Record>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let (chance, record) = (chance.clone(), record.clone());
+            thread::spawn(move || serve(dest, stream, &chance, &record));
+        }
+    });
+    addr
+}
+
+/// Whether the other side has closed the connection.
+fn ended(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).unwrap();
+    !matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
+fn serve(dest: u16, stream: TcpStream, chance: &Mutex<Pcg64Mcg>, record: &Mutex<Record>) {
+    let mut writer = stream.try_clone().unwrap();
+    let mut reader = BufReader::new(stream);
+    while let Some(request) = read_http(&mut reader) {
+        let (id, at) = (request.header("req-id").unwrap().to_owned(), Instant::now());
+        let (act, works) = draw(&mut chance.lock().unwrap());
+        let index = {
+            let calls = &mut record.lock().unwrap().calls;
+            calls.push(Call { id, dest, at, ran: Ran::Perhaps, wait: NO_WAIT, answered: at });
+            calls.len() - 1
+        };
+        thread::sleep(works);
+        let answer = |writer: &mut TcpStream, ran: Ran, wait: Duration, text: &str| {
+            let call = &mut record.lock().unwrap().calls[index];
+            // Before it is written: whoever reads it may act on it at once.
+            (call.ran, call.wait, call.answered) = (ran, wait, Instant::now());
+            let _ = writer.write_all(text.as_bytes());
+        };
+        match act {
+            Act::Deliver => answer(&mut writer, Ran::Delivered, NO_WAIT, OK),
+            Act::Fail => answer(&mut writer, Ran::Perhaps, NO_WAIT, ERROR),
+            Act::Busy => answer(&mut writer, Ran::Never, NO_WAIT, BUSY),
+            Act::Wait(wait) => {
+                let ms = wait.as_millis();
+                let head =
+                    format!("HTTP/1.1 429 Later\r\nX-RateLimit-Wait-Ms: {ms}\r\nContent-Length: 0\r\n\r\n");
+                // Who has given the call up is told nothing.
+                let heard = if ended(&writer) { NO_WAIT } else { wait };
+                answer(&mut writer, Ran::Never, heard, &head);
+            }
+            Act::Drop => return,
+            Act::Hang => thread::sleep(LONG),
+        }
+    }
+}
