--- a/tests/support/soak/mod.rs
+++ b/tests/support/soak/mod.rs
@@ -145,7 +145,7 @@
     let acts = Arc::new(Mutex::new(Pcg64Mcg::seed_from_u64(seed ^ 0xac7)));
     let link = |dest: u16| {
         let addr = partner::start(dest, acts.clone(), record.clone());
-        relay.link(LinkName::new("courier", &format!("p{dest}")), addr).unwrap()
+        relay.link(LinkName::new("courier", format!("p{dest}")), addr).unwrap()
     };
     let links = [link(3), link(4)];
     let mut site = site(SOCKETS, 64);
