Soak: loads by seed, stalls before kills, links refused over several processes

The forms: lower loads with more calls that hang, links that stay refused over several processes, all calls hanging for 0.3 s before some kills; window 3 s, five processes a run.

--- a/tests/support/soak/clients.rs
+++ b/tests/support/soak/clients.rs
@@ -25,6 +25,8 @@
 pub struct Client {
     pub number: usize,
     pub seed: u64,
+    /// Between two of its requests, at least; at most twice as long.
+    pub pause: Duration,
     pub addr: SocketAddr,
     pub front: Arc<Front>,
     pub record: Arc<Mutex<Record>>,
@@ -41,7 +43,7 @@
             let effect = Effect::ALL[chance.next_u32() as usize % Effect::ALL.len()];
             let id = format!("{}{}-{n}", effect.letter(), self.number);
             self.hand_in(&mut stream, &id, 3 + (chance.next_u32() % 2) as u16);
-            thread::sleep(Duration::from_millis(30 + u64::from(chance.next_u32() % 60)));
+            thread::sleep(self.pause + self.pause.mul_f64(f64::from(chance.next_u32() % 100) / 100.0));
         }
     }
 
--- a/tests/support/soak/mod.rs
+++ b/tests/support/soak/mod.rs
@@ -14,21 +14,27 @@
 use rand_pcg::Pcg64Mcg;
 use record::{Effect, Record};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// A keyed message may be repeated for so long.
-pub const WINDOW: Duration = Duration::from_millis(2_500);
+pub const WINDOW: Duration = Duration::from_millis(3_000);
 /// New connections keep coming for so long after SIGTERM, and SIGKILL comes no sooner than this.
 const FRONT_NOTICES: Duration = Duration::from_millis(400);
 const KILL_AFTER_TERM: Duration = Duration::from_millis(3_700);
+/// Calls hang for so long before some kills, so that they are out then.
+const STALL_BEFORE_KILL: Duration = Duration::from_millis(300);
 const RESTART_AFTER: Duration = Duration::from_millis(600);
 const CLIENTS: usize = 6;
 const SOCKETS: usize = 128;
 const CROWD: usize = 200;
-const LIVES: usize = 4;
+const LIVES: usize = 5;
+
+/// How long clients pause, and of a hundred calls how many hang.
+const LOADS: [(Duration, u32); 3] =
+    [(Duration::from_millis(30), 8), (Duration::from_millis(150), 20), (Duration::from_millis(400), 50)];
 /// After the longest deadline a message has its end so soon, a shared machine's own delay included.
 const ENDED_BY: Duration = Duration::from_millis(2_500);
 
@@ -76,17 +82,20 @@
     site: Site,
     relay: Relay,
     refused: Vec<RuleNo>,
+    stalled: Arc<AtomicBool>,
     front: Arc<Front>,
     record: Arc<Mutex<Record>>,
 }
 
 impl Run {
     fn start(&mut self) -> Program {
-        // A destination may be out of reach for the first part of the process's life.
-        for link in ["courier>p3", "courier>p4"] {
-            if self.chance.one_in(2) {
-                let rule = Rule::new("refused", link, What::Refuse).unwrap();
-                self.refused.push(self.relay.add(rule).unwrap());
+        // Destinations may be out of reach from before a process's start on, perhaps for several processes.
+        if self.refused.is_empty() {
+            for link in ["courier>p3", "courier>p4"] {
+                if !self.chance.one_in(3) {
+                    let rule = Rule::new("refused", link, What::Refuse).unwrap();
+                    self.refused.push(self.relay.add(rule).unwrap());
+                }
             }
         }
         let (program, _) = self.site.start();
@@ -104,20 +113,26 @@
     /// Some of the process's life, and how it ends.
     fn life(&mut self, program: Program) {
         thread::sleep(self.chance.between(300, 1_500));
-        if self.chance.one_in(2) {
+        if self.chance.one_in(3) {
             self.heal();
         }
         for _ in 0..self.chance.0.next_u32() % 3 {
             program.signal("HUP");
             thread::sleep(self.chance.between(1, 200));
         }
-        if self.chance.one_in(2) {
+        if self.chance.one_in(3) {
             self.terminate(&program);
+        } else if self.chance.one_in(2) {
+            self.stalled.store(true, Ordering::SeqCst);
+            thread::sleep(STALL_BEFORE_KILL);
         }
         self.front.closed.store(true, Ordering::SeqCst);
         self.front.kills.fetch_add(1, Ordering::SeqCst);
         program.kill();
-        self.heal();
+        self.stalled.store(false, Ordering::SeqCst);
+        if self.chance.one_in(2) {
+            self.heal();
+        }
         thread::sleep(RESTART_AFTER);
     }
 
@@ -142,7 +157,10 @@
     let mut chance = Chance(Pcg64Mcg::seed_from_u64(seed));
     let record = Arc::new(Mutex::new(Record::default()));
     let relay = Relay::start(seed, Vec::new(), Limits::default()).unwrap();
+    let (pause, hangs_percent) = LOADS[chance.0.next_u32() as usize % LOADS.len()];
     let acts = Arc::new(Mutex::new(Pcg64Mcg::seed_from_u64(seed ^ 0xac7)));
+    let stalled = Arc::new(AtomicBool::new(false));
+    let acts = partner::Acts { chance: acts, hangs_percent, stalled: stalled.clone() };
     let link = |dest: u16| {
         let addr = partner::start(dest, acts.clone(), record.clone());
         relay.link(LinkName::new("courier", format!("p{dest}")), addr).unwrap()
@@ -152,11 +170,18 @@
     let addr = config(&mut site, &links);
     let front = Arc::new(Front::default());
     let with_crowd = chance.one_in(3);
-    let mut run =
-        Run { chance, site, relay, refused: Vec::new(), front: front.clone(), record: record.clone() };
+    let mut run = Run {
+        chance,
+        site,
+        relay,
+        refused: Vec::new(),
+        stalled,
+        front: front.clone(),
+        record: record.clone(),
+    };
     let mut program = run.start();
     let client = |number| {
-        let client = Client { number, seed, addr, front: front.clone(), record: record.clone() };
+        let client = Client { number, seed, pause, addr, front: front.clone(), record: record.clone() };
         thread::spawn(move || client.run())
     };
     let clients: Vec<_> = (0..CLIENTS).map(client).collect();
--- a/tests/support/soak/partner.rs
+++ b/tests/support/soak/partner.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -24,26 +25,37 @@
     Hang,
 }
 
-fn draw(chance: &mut Pcg64Mcg) -> (Act, Duration) {
+fn draw(chance: &mut Pcg64Mcg, hangs_percent: u32) -> (Act, Duration) {
     let works = Duration::from_millis(u64::from(chance.next_u32() % 60));
+    if chance.next_u32() % 100 < hangs_percent {
+        return (Act::Hang, works);
+    }
     let act = match chance.next_u32() % 100 {
-        0..=71 => Act::Deliver,
-        72..=76 => Act::Fail,
-        77..=82 => Act::Busy,
-        83..=86 => Act::Wait(Duration::from_millis(300 + u64::from(chance.next_u32() % 500))),
-        87..=91 => Act::Drop,
-        _ => Act::Hang,
+        0..=4 => Act::Fail,
+        5..=11 => Act::Busy,
+        12..=15 => Act::Wait(Duration::from_millis(300 + u64::from(chance.next_u32() % 500))),
+        16..=21 => Act::Drop,
+        _ => Act::Deliver,
     };
     (act, works)
 }
 
-pub fn start(dest: u16, chance: Arc<Mutex<Pcg64Mcg>>, record: Arc<Mutex<Record>>) -> SocketAddr {
+/// What a partner's acts are drawn from.
+#[derive(Clone)]
+pub struct Acts {
+    pub chance: Arc<Mutex<Pcg64Mcg>>,
+    pub hangs_percent: u32,
+    /// All calls hang.
+    pub stalled: Arc<AtomicBool>,
+}
+
+pub fn start(dest: u16, acts: Acts, record: Arc<Mutex<Record>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            let (chance, record) = (chance.clone(), record.clone());
-            thread::spawn(move || serve(dest, stream, &chance, &record));
+            let (acts, record) = (acts.clone(), record.clone());
+            thread::spawn(move || serve(dest, stream, &acts, &record));
         }
     });
     addr
@@ -57,12 +69,15 @@
     !matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
 }
 
-fn serve(dest: u16, stream: TcpStream, chance: &Mutex<Pcg64Mcg>, record: &Mutex<Record>) {
+fn serve(dest: u16, stream: TcpStream, acts: &Acts, record: &Mutex<Record>) {
     let mut writer = stream.try_clone().unwrap();
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_http(&mut reader) {
         let (id, at) = (request.header("req-id").unwrap().to_owned(), Instant::now());
-        let (act, works) = draw(&mut chance.lock().unwrap());
+        let (act, works) = draw(
+            &mut acts.chance.lock().unwrap(),
+            if acts.stalled.load(Ordering::SeqCst) { 100 } else { acts.hangs_percent },
+        );
         let index = {
             let calls = &mut record.lock().unwrap().calls;
             calls.push(Call { id, dest, at, ran: Ran::Perhaps, wait: NO_WAIT, answered: at });
--- a/tests/support/soak/record.rs
+++ b/tests/support/soak/record.rs
@@ -34,7 +34,7 @@
     pub fn class(self) -> (&'static str, Duration) {
         match self {
             Effect::Safe => ("render-status", Duration::from_millis(3_000)),
-            Effect::Keyed => ("print-order", Duration::from_millis(6_000)),
+            Effect::Keyed => ("print-order", Duration::from_millis(9_000)),
             Effect::Unsafe => ("notify", Duration::from_millis(4_000)),
         }
     }
