Log which connection answered a call, surplus bytes, and why idle ones are closed

What was asked: which connection a call went on, what answered it there, and whether more came than the answer. The logs told none of it. At connections=debug each answer is told with message, attempt, endpoint, local address and whether the connection was used before, and each idle connection that is closed with its reason; surplus bytes are told at info. No behaviour changes.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -175,6 +175,15 @@
     since: Instant,
 }
 
+/// Why an idle connection is closed. The variant names are written to logs.
+#[derive(Debug)]
+enum IdleCloseReason {
+    IdleTimeout,
+    ClosedByEndpoint,
+    /// The endpoint has sent bytes that belong to no call.
+    UnsolicitedInput,
+}
+
 enum FetchState {
     /// Ordered, without a connection yet.
     Ordered,
@@ -300,10 +309,25 @@
     pub fn reuse(&self, backend: &Backend) -> Option<(Arc<TcpStream>, u32)> {
         loop {
             let idle = lock(&self.idle).get_mut(backend)?.pop()?;
-            if idle.since.elapsed() < self.idle_timeout && is_idle(&idle.stream) {
+            let Some(reason) = self.close_reason(&idle) else {
                 return Some((idle.stream, idle.tag));
-            }
+            };
+            tracing::debug!(target: "connections", endpoint = %backend.name, ?reason, "an idle connection is closed");
+        }
+    }
+
+    /// Why an idle connection can't be used any more, if it can't.
+    fn close_reason(&self, idle: &IdleConnection) -> Option<IdleCloseReason> {
+        if idle.since.elapsed() >= self.idle_timeout {
+            return Some(IdleCloseReason::IdleTimeout);
+        }
+        if is_idle(&idle.stream) {
+            return None;
         }
+        Some(match peek_now(&idle.stream, &mut [0]) {
+            0 => IdleCloseReason::ClosedByEndpoint,
+            _ => IdleCloseReason::UnsolicitedInput,
+        })
     }
 
     /// Keeps a connection whose response was read whole, and closes the one that has been idle longest if there are too many.
--- a/src/net/platform/fetch.rs
+++ b/src/net/platform/fetch.rs
@@ -97,6 +97,10 @@
     platform.conns.request_written(fetch.msg, fetch.attempt, fetch.req.dest);
     let (received, received_at) = response::read_response(platform, fetch, &stream, &mut buf, until, false);
     let latency = Micros((received_at - sent).as_micros() as u64);
+    tracing::debug!(
+        target: "connections", id = %fetch.req.id, attempt = fetch.attempt, endpoint = %fetch.backend.name, reused,
+        local = ?stream.local_addr().ok(), answer = %received, latency_us = latency.0, "answered"
+    );
     let (end, load, reusable) = match received {
         Received::Nothing(end) => (end, Vec::new(), false),
         // A status line that says 200 is a delivery whatever follows.
--- a/src/net/platform/response.rs
+++ b/src/net/platform/response.rs
@@ -7,6 +7,7 @@
 use crate::core::{End, Fetch, Report};
 use crate::net::pool::PooledBuffer;
 use crate::net::{conn, errors};
+use std::fmt;
 use std::io::ErrorKind;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -97,6 +98,17 @@
     },
 }
 
+impl fmt::Display for Received {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Received::Nothing(end) => write!(f, "none: {end:?}"),
+            Received::Invalid { status_line_is_200, .. } => write!(f, "invalid, 200: {status_line_is_200}"),
+            Received::HeadOnly(head) => write!(f, "{}, head only", head.status),
+            Received::Complete { head, .. } => write!(f, "{}", head.status),
+        }
+    }
+}
+
 /// Reads the response; returns what was received, and when that was certain. It may be garbage, incomplete or endless. A
 /// status line that says 200 counts whatever follows, except for a batch (`body`), where the body has the results of the
 /// members. Any other response proves nothing unless it is complete and nothing follows it: the call may have taken effect.
@@ -162,7 +174,10 @@
     let mut eof = false;
     let complete = loop {
         match head.response_len(&buf[..filled], eof) {
-            Ok(Some(n)) => break n == filled,
+            Ok(Some(n)) => {
+                log_surplus(fetch, filled - n);
+                break n == filled;
+            }
             Ok(None) if !eof && filled < buf.len() => {}
             _ => break false,
         }
@@ -183,3 +198,11 @@
     };
     (received, head_at)
 }
+
+/// Logs bytes that an endpoint sent behind its answer. They belong to no call, and the connection is closed.
+fn log_surplus(fetch: &Fetch, surplus_bytes: usize) {
+    if surplus_bytes > 0 {
+        let (id, endpoint) = (&fetch.req.id, &fetch.backend.name);
+        tracing::info!(target: "connections", %id, %endpoint, surplus_bytes, "more came than the answer to the call");
+    }
+}
