--- a/tests/support/mailbox.rs
+++ b/tests/support/mailbox.rs
@@ -1,10 +1,12 @@
 //! A stand-in mail server, SMTP or LMTP, that injects faults; and a mail client that says lines and reads replies.
+#![allow(dead_code)] // each test program uses its part
 
 use super::LONG;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 /// What the server does with a recipient's message.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -20,8 +22,29 @@
     Rcpt(&'static str),
     /// Answers the text so.
     Text(&'static str),
+    /// Answers the text so, behind a second copy of its answer to RCPT.
+    TextAfterRcptCopy(&'static str),
+    /// Answers the text so, behind a second copy of its answer to the text before on that connection, if there was one.
+    TextAfterTextCopy(&'static str),
 }
 
+impl Fault {
+    /// The answer to the text, if it is another than that the text is taken.
+    fn text_reply(self) -> Option<&'static str> {
+        match self {
+            Fault::Text(reply) | Fault::TextAfterRcptCopy(reply) | Fault::TextAfterTextCopy(reply) => {
+                Some(reply)
+            }
+            _ => None,
+        }
+    }
+}
+
+const RCPT_TAKEN: &str = "250 ok\r\n";
+const TEXT_TAKEN: &str = "250 2.0.0 taken\r\n";
+/// How long after a copy of an earlier answer the answer itself comes.
+const ANSWER_AFTER_COPY: Duration = Duration::from_millis(40);
+
 /// What the server has seen: a transaction's sender, recipient and text, and whether it was taken.
 #[derive(Debug, Clone)]
 pub struct Seen {
@@ -73,6 +96,8 @@
     let mut out = stream.try_clone()?;
     let mut lines = BufReader::new(stream).lines();
     let (mut from, mut to, mut plan) = (String::new(), String::new(), Fault::None);
+    // Texts answered on this connection.
+    let mut ended = 0;
     write!(out, "220 stand-in ready\r\n")?;
     while let Some(Ok(line)) = lines.next() {
         let upper = line.to_ascii_uppercase();
@@ -91,7 +116,7 @@
             seen.lock().unwrap().push(one);
             match plan {
                 Fault::Rcpt(reply) => write!(out, "{reply}\r\n")?,
-                _ => write!(out, "250 ok\r\n")?,
+                _ => out.write_all(RCPT_TAKEN.as_bytes())?,
             }
         } else if upper == "DATA" {
             if plan == Fault::DropBeforeText {
@@ -110,13 +135,26 @@
             let mut seen = seen.lock().unwrap();
             let mine = seen.iter_mut().rev().find(|s| s.to == to && s.text.is_empty()).unwrap();
             mine.text = text;
-            mine.taken = !matches!(plan, Fault::Text(_));
+            mine.taken = plan.text_reply().is_none_or(|reply| reply.starts_with('2'));
             drop(seen);
-            match plan {
+            let copy = match plan {
                 Fault::DropAfterText => return Ok(()),
-                Fault::HangAfterText => thread::sleep(LONG),
-                Fault::Text(reply) => write!(out, "{reply}\r\n")?,
-                _ => write!(out, "250 2.0.0 taken\r\n")?,
+                Fault::HangAfterText => {
+                    thread::sleep(LONG);
+                    None
+                }
+                Fault::TextAfterRcptCopy(_) => Some(RCPT_TAKEN),
+                Fault::TextAfterTextCopy(_) if ended > 0 => Some(TEXT_TAKEN),
+                _ => None,
+            };
+            if let Some(copy) = copy {
+                out.write_all(copy.as_bytes())?;
+                thread::sleep(ANSWER_AFTER_COPY);
+            }
+            ended += 1;
+            match plan.text_reply() {
+                Some(reply) => write!(out, "{reply}\r\n")?,
+                None => out.write_all(TEXT_TAKEN.as_bytes())?,
             }
         } else if upper == "RSET" {
             write!(out, "250 ok\r\n")?;
