--- a/tests/support/stale.rs
+++ b/tests/support/stale.rs
@@ -17,9 +17,6 @@
     pub request: Http,
     /// First line of its own answer.
     pub status: u16,
-    pub connection: usize,
-    /// The peer wrote a copy of an earlier answer ahead of it.
-    pub behind_copy: bool,
 }
 
 /// An HTTP server with such connections.
@@ -36,9 +33,9 @@
         let (seen, answer) = (Arc::new(Mutex::new(Vec::new())), Arc::new(answer));
         let all = seen.clone();
         thread::spawn(move || {
-            for (connection, stream) in listener.incoming().map_while(Result::ok).enumerate() {
+            for stream in listener.incoming().map_while(Result::ok) {
                 let (seen, answer) = (all.clone(), answer.clone());
-                thread::spawn(move || serve(connection, stream, &seen, &*answer));
+                thread::spawn(move || serve(stream, &seen, &*answer));
             }
         });
         StalePeer { addr, seen }
@@ -50,9 +47,7 @@
     }
 }
 
-fn serve(
-    connection: usize, stream: TcpStream, seen: &Mutex<Vec<Seen>>, answer: &dyn Fn(&Http, usize) -> String,
-) {
+fn serve(stream: TcpStream, seen: &Mutex<Vec<Seen>>, answer: &dyn Fn(&Http, usize) -> String) {
     let mut writer = stream.try_clone().unwrap();
     let mut reader = BufReader::new(stream);
     let mut last: Option<String> = None;
@@ -61,7 +56,7 @@
             let mut seen = seen.lock().unwrap();
             let text = answer(&request, seen.len());
             let status = text.split(' ').nth(1).unwrap().parse().unwrap();
-            seen.push(Seen { request, status, connection, behind_copy: last.is_some() });
+            seen.push(Seen { request, status });
             text
         };
         if let Some(copy) = last {
