A call to an endpoint has a connection of its own; no copy of an earlier answer can end it

Callers saw: messages that were taken on and had no end, and messages that ran twice. Cause: on a kept connection answers were matched with calls by their order alone (fetch.rs, batch.rs, probe.rs kept the connection after an answer). An answer of a call names nothing; a second copy of an earlier answer that came while the next call was out ended that call, and every later answer on the connection ended the call after its own. Ruled out: a nearer look at the idle connection (the copy comes after the last byte); telling a copy by its bytes (load reports stay the same for 120 to 430 ms, and deployments without reports have equal answers); a span of quiet before reuse (the copy is set off by the next call). Change: a connection that carried a call, a batch or a probe is closed with its answer, and the request says so (Connection: close). Only connections on which nothing was written are kept.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -1,5 +1,5 @@
 //! Reads and writes with absolute deadlines, and the connections of one frontend's fetches: those in use, which can be
-//! cancelled, and idle ones, which can be reused.
+//! cancelled, and idle ones, on which no request was written yet.
 
 use super::errors::{fault_of, Fault};
 use crate::core::Backend;
@@ -303,7 +303,7 @@
         }
     }
 
-    /// Takes the most recently used idle connection that is still usable. An endpoint closes connections that have been idle,
+    /// Takes the newest idle connection that is still usable. An endpoint closes connections that have been idle,
     /// and a request written to such a connection ends with a reset after which it may have run. So a connection is dropped if
     /// its end or unexpected input can be read, or if it has been idle for too long.
     pub fn reuse(&self, backend: &Backend) -> Option<(Arc<TcpStream>, u32)> {
@@ -330,7 +330,9 @@
         })
     }
 
-    /// Keeps a connection whose response was read whole, and closes the one that has been idle longest if there are too many.
+    /// Keeps a connection on which no request was written, and closes the one that has been idle longest if there are too many.
+    /// One that carried a request must not be kept: responses name no request, so a second copy of its response would be taken
+    /// for the response to the next request.
     pub fn keep(&self, backend: &Arc<Backend>, stream: Arc<TcpStream>, tag: u32) {
         let mut idle = lock(&self.idle);
         idle.entry(backend.clone()).or_default().push(IdleConnection { stream, tag, since: Instant::now() });
--- a/src/net/platform/batch.rs
+++ b/src/net/platform/batch.rs
@@ -54,12 +54,12 @@
 /// Carries out a batch and reports the end of every member.
 pub fn run(platform: &Platform, fetches: Vec<Fetch>) {
     let mut call = BatchCall { platform, members: fetches, unreported: Vec::new() };
-    let reusable = call.execute();
+    let unused = call.execute();
     let unsent = std::mem::take(&mut call.members);
     // Members that have no end yet were never sent.
     unsent.into_iter().for_each(|fetch| call.unreported.push((fetch, End::NotBegun)));
     call.report_ends(Micros(0), &[]);
-    if let Some((fetch, stream)) = reusable {
+    if let Some((fetch, stream)) = unused {
         platform.conns.keep(&fetch.backend, stream, 0);
     }
 }
@@ -73,23 +73,23 @@
     unreported: Vec<(Fetch, End)>,
 }
 
-/// A connection that can be reused, and a fetch that names its backend.
-type ReusableStream = Option<(Fetch, Arc<TcpStream>)>;
+/// A connection to which no request was written, and a fetch that names its backend.
+type UnusedStream = Option<(Fetch, Arc<TcpStream>)>;
 
 impl BatchCall<'_> {
-    fn execute(&mut self) -> ReusableStream {
+    fn execute(&mut self) -> UnusedStream {
         let clock = &self.platform.courier.clock;
         let first = self.members.first()?.clone();
         // All members have the same deadline.
         let until = clock.instant(first.deadline);
-        let (stream, reused) = match fetch::connect(self.platform, &first, until) {
+        let (stream, idled) = match fetch::connect(self.platform, &first, until) {
             Ok(connection) => connection,
             Err(end) => {
                 self.end_all(end);
                 return None;
             }
         };
-        let reusable = |stream| Some((first.clone(), stream));
+        let unused = |stream| Some((first.clone(), stream));
         let ids: Vec<(u64, u8)> = self.members.iter().map(|fetch| (fetch.msg, fetch.attempt)).collect();
         let mut opened = self.platform.conns.fetches_connected(&ids, &stream).into_iter();
         self.retain_members(|_| opened.next().unwrap_or_default());
@@ -98,19 +98,19 @@
         let mut may_begin = self.platform.courier.begin_all(&self.members).into_iter();
         self.retain_members(|_| may_begin.next().unwrap_or_default());
         if self.members.is_empty() || report_unread_waits_for(self.platform, &first) {
-            return reusable(stream);
+            return unused(stream);
         }
         let mut buf = self.platform.pool.get();
-        let Some(len) = self.write_request(&mut buf) else { return reusable(stream) };
+        let Some(len) = self.write_request(&mut buf) else { return unused(stream) };
         // For the same reason as in a fetch by itself.
-        if reused && !conn::is_idle(&stream) {
+        if idled && !conn::is_idle(&stream) {
             self.end_all(End::NotBegun);
             return None;
         }
         let sent = Instant::now();
         if conn::write_all(&stream, &buf[..len], until).is_err() {
             // As in a fetch by itself: the last byte was not written.
-            self.end_all(if reused { End::NotBegun } else { End::NotConnected });
+            self.end_all(if idled { End::NotBegun } else { End::NotConnected });
             return None;
         }
         for fetch in &self.members {
@@ -123,17 +123,11 @@
         let (received, received_at) =
             response::read_response(self.platform, &first, &stream, &mut buf, until, true);
         let latency = Micros((received_at - sent).as_micros() as u64);
-        let (load, can_reuse) = self.apply_response(received, &buf);
-        if !can_reuse {
-            // Closed before any end is reported: a retry that begins at once would put a second copy in flight.
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        let load = self.apply_response(received, &buf);
+        // Closed before any end is reported: a retry that begins at once would put a second copy in flight.
+        let _ = stream.shutdown(Shutdown::Both);
         self.report_ends(latency, &load);
-        if can_reuse {
-            reusable(stream)
-        } else {
-            None
-        }
+        None
     }
 
     /// Ends the members that may not begin; they were never sent.
@@ -163,7 +157,7 @@
         let (size, host) = (buf.len(), self.members.first()?.backend.addr);
         let mut rest = &mut buf[..];
         write!(rest, "POST /hook/batch HTTP/1.1\r\nHost: {host}\r\nReq-Deadline-Ms: {left_ms}\r\n").ok()?;
-        write!(rest, "Content-Length: {}\r\n\r\n", body.len()).ok()?;
+        write!(rest, "Connection: close\r\nContent-Length: {}\r\n\r\n", body.len()).ok()?;
         rest.write_all(&body).ok()?;
         let unused = rest.len();
         Some(size - unused)
@@ -185,8 +179,8 @@
         }
     }
 
-    /// Ends each member as the response says. Returns the reported load, and whether the connection can be reused.
-    fn apply_response(&mut self, received: Received, buf: &PooledBuffer) -> (Vec<f32>, bool) {
+    /// Ends each member as the response says. Returns the reported load.
+    fn apply_response(&mut self, received: Received, buf: &PooledBuffer) -> Vec<f32> {
         match received {
             Received::Nothing(end) => self.end_all(end),
             // What an incomplete response says about some members ends none of them.
@@ -212,10 +206,10 @@
                     }
                     _ => self.end_all(response::end_from_head(&head)),
                 }
-                return (head.load, !head.close);
+                return head.load;
             }
         }
-        (Vec::new(), false)
+        Vec::new()
     }
 
     /// Reports the ends so far. The end that the call as a whole came to is first, because it stands for the call.
--- a/src/net/platform/fetch.rs
+++ b/src/net/platform/fetch.rs
@@ -1,4 +1,7 @@
-//! Fetches: one attempt each, to one backend, over one connection. A failure is reported; nothing is retried here.
+//! Fetches: one attempt each, to one backend, over a connection of its own. A failure is reported; nothing is retried here.
+//!
+//! A response names no request. On a connection that carried an earlier request, a late second copy of the earlier response
+//! would be taken for the response to this one, so no connection carries a second request.
 
 use super::response::{self, report_unread_waits_for, Received};
 use super::{batch, Platform};
@@ -30,13 +33,13 @@
     end: End,
     latency: Micros,
     load: Vec<f32>,
-    /// The connection, if another fetch can reuse it.
-    reusable_stream: Option<Arc<TcpStream>>,
+    /// The connection, if no request was written to it.
+    unused_stream: Option<Arc<TcpStream>>,
 }
 
 impl AttemptResult {
     fn without_response(end: End) -> AttemptResult {
-        AttemptResult { end, latency: Micros(0), load: Vec::new(), reusable_stream: None }
+        AttemptResult { end, latency: Micros(0), load: Vec::new(), unused_stream: None }
     }
 }
 
@@ -47,8 +50,8 @@
     if cancelled && result.end == End::Broke {
         result.end = End::CalledOff;
     }
-    if let (Some(reusable_stream), false) = (result.reusable_stream, cancelled) {
-        platform.conns.keep(&fetch.backend, reusable_stream, 0);
+    if let (Some(unused_stream), false) = (result.unused_stream, cancelled) {
+        platform.conns.keep(&fetch.backend, unused_stream, 0);
     }
     let (end, latency, load, reply) = (result.end, result.latency, result.load, String::new());
     platform.courier.report(Report::Done { fetch, end, latency, load, reply });
@@ -57,7 +60,7 @@
 fn attempt(platform: &Platform, fetch: &Fetch) -> AttemptResult {
     let clock = &platform.courier.clock;
     let until = clock.instant(fetch.deadline);
-    let (stream, reused) = match connect(platform, fetch, until) {
+    let (stream, idled) = match connect(platform, fetch, until) {
         Ok(connection) => connection,
         Err(end) => return AttemptResult::without_response(end),
     };
@@ -68,7 +71,7 @@
     let left_ms = (fetch.deadline - clock.now()).0 / 1000;
     let Some(len) = (left_ms > 0).then(|| write_request(&mut buf, fetch, left_ms)).flatten() else {
         return AttemptResult {
-            reusable_stream: Some(stream),
+            unused_stream: Some(stream),
             ..AttemptResult::without_response(End::NotBegun)
         };
     };
@@ -78,41 +81,42 @@
     let may_begin = platform.courier.report(Report::Begin(fetch.clone())) == Answer::MayBegin(true);
     if !may_begin || report_unread_waits_for(platform, fetch) {
         return AttemptResult {
-            reusable_stream: Some(stream),
+            unused_stream: Some(stream),
             ..AttemptResult::without_response(End::NotBegun)
         };
     }
-    // An endpoint may at any moment close a connection that was idle, or send an unsolicited response on it. A request
+    // An endpoint may at any moment close a connection that is idle, or send an unsolicited response on it. A request
     // written then would count as a call that may have taken effect, or be matched with the wrong response.
-    if reused && !conn::is_idle(&stream) {
+    if idled && !conn::is_idle(&stream) {
         return AttemptResult::without_response(End::NotBegun);
     }
     let sent = Instant::now();
     if conn::write_all(&stream, &buf[..len], until).is_err() {
         // The last byte was not written, so the call did not take effect. The failure of a connection that was idle is no
         // evidence about its endpoint, which may just have closed it for being idle.
-        return AttemptResult::without_response(if reused { End::NotBegun } else { End::NotConnected });
+        return AttemptResult::without_response(if idled { End::NotBegun } else { End::NotConnected });
     }
     platform.courier.board.count_written();
     platform.conns.request_written(fetch.msg, fetch.attempt, fetch.req.dest);
     let (received, received_at) = response::read_response(platform, fetch, &stream, &mut buf, until, false);
     let latency = Micros((received_at - sent).as_micros() as u64);
     tracing::debug!(
-        target: "connections", id = %fetch.req.id, attempt = fetch.attempt, endpoint = %fetch.backend.name, reused,
+        target: "connections", id = %fetch.req.id, attempt = fetch.attempt, endpoint = %fetch.backend.name, idled,
         local = ?stream.local_addr().ok(), answer = %received, latency_us = latency.0, "answered"
     );
-    let (end, load, reusable) = match received {
-        Received::Nothing(end) => (end, Vec::new(), false),
+    let (end, load) = match received {
+        Received::Nothing(end) => (end, Vec::new()),
         // A status line that says 200 is a delivery whatever follows.
-        Received::Invalid { status_line_is_200: true, .. } => (End::Delivered, Vec::new(), false),
-        Received::Invalid { retry_after, .. } => (End::Spoilt(retry_after), Vec::new(), false),
-        Received::Complete { head, .. } => (response::end_from_head(&head), head.load, !head.close),
-        Received::HeadOnly(head) => (response::end_from_head(&head), head.load, false),
+        Received::Invalid { status_line_is_200: true, .. } => (End::Delivered, Vec::new()),
+        Received::Invalid { retry_after, .. } => (End::Spoilt(retry_after), Vec::new()),
+        Received::Complete { head, .. } | Received::HeadOnly(head) => {
+            (response::end_from_head(&head), head.load)
+        }
     };
-    AttemptResult { end, latency, load, reusable_stream: reusable.then_some(stream) }
+    AttemptResult { end, latency, load, unused_stream: None }
 }
 
-/// A connection, and whether it was used before; otherwise how the fetch ends.
+/// A connection on which no request was written yet, and whether it has been idle; otherwise how the fetch ends.
 pub fn connect(platform: &Platform, fetch: &Fetch, until: Instant) -> Result<(Arc<TcpStream>, bool), End> {
     if let Some((stream, _)) = platform.conns.reuse(&fetch.backend) {
         return Ok((stream, true));
@@ -135,7 +139,12 @@
     if !req.head.is_empty() {
         write!(rest, "Idempotency-Key: {}\r\n", req.head).ok()?;
     }
-    write!(rest, "Req-Deadline-Ms: {left_ms}\r\nContent-Length: {}\r\n\r\n", req.body.len()).ok()?;
+    write!(
+        rest,
+        "Req-Deadline-Ms: {left_ms}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+        req.body.len()
+    )
+    .ok()?;
     rest.write_all(&req.body).ok()?;
     let unused = rest.len();
     Some(size - unused)
--- a/src/net/platform/probe.rs
+++ b/src/net/platform/probe.rs
@@ -1,4 +1,5 @@
-//! Probes: health requests to endpoints. A probe shares the connections of the fetches but has no message and takes no slot.
+//! Probes: health requests to endpoints. A probe has a connection of its own, as a fetch has, but
+//! no message, and it takes no slot.
 //! A wait that its response demands holds as one in the response to a message does.
 
 use super::http::{self, ResponseHead};
@@ -20,8 +21,6 @@
 pub const QUEUE_CAPACITY: usize = 32;
 /// Timeout for reading bytes that have arrived already.
 const BUFFERED_READ_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time limit for the body, counted from the end of the head. The body is read so that the connection can be reused.
-const BODY_TIMEOUT: Micros = Micros(30_000);
 
 /// Thread function: carries out ordered probes until the channel is closed.
 pub fn run_worker(platform: &Platform, orders: &Receiver<Probe>) {
@@ -29,7 +28,7 @@
         platform.conns.fetch_ordered(probe.number(), 0);
         let result = send_probe(platform, &probe);
         platform.conns.fetch_ended(probe.number(), 0);
-        if let Some(stream) = result.reusable_stream {
+        if let Some(stream) = result.unused_stream {
             platform.conns.keep(&probe.backend, stream, 0);
         }
         platform.courier.probed(&probe, result.outcome, result.latency, result.load);
@@ -40,13 +39,13 @@
     outcome: Outcome,
     latency: Micros,
     load: Vec<f32>,
-    /// The connection, if it can be reused.
-    reusable_stream: Option<Arc<TcpStream>>,
+    /// The connection, if no request was written to it.
+    unused_stream: Option<Arc<TcpStream>>,
 }
 
 impl ProbeResult {
-    fn without_response(outcome: Outcome, reusable_stream: Option<Arc<TcpStream>>) -> ProbeResult {
-        ProbeResult { outcome, latency: Micros(0), load: Vec::new(), reusable_stream }
+    fn without_response(outcome: Outcome, unused_stream: Option<Arc<TcpStream>>) -> ProbeResult {
+        ProbeResult { outcome, latency: Micros(0), load: Vec::new(), unused_stream }
     }
 }
 
@@ -56,7 +55,7 @@
     if Instant::now() >= until {
         return ProbeResult::without_response(Outcome::NotSent, None);
     }
-    let (stream, reused) = match platform.conns.reuse(&probe.backend) {
+    let (stream, idled) = match platform.conns.reuse(&probe.backend) {
         Some((stream, _)) => (stream, true),
         None => match platform.acceptor.connect(probe.backend.addr, until) {
             Ok(stream) => (Arc::new(stream), false),
@@ -72,16 +71,17 @@
     if !platform.courier.may_probe(probe) || report_unread_waits(platform, probe.dest) {
         return ProbeResult::without_response(Outcome::NotSent, Some(stream));
     }
-    if reused && !conn::is_idle(&stream) {
+    if idled && !conn::is_idle(&stream) {
         return ProbeResult::without_response(Outcome::NotSent, None);
     }
     let sent = Instant::now();
-    let text = format!("GET /health/live HTTP/1.1\r\nHost: {}\r\n\r\n", probe.backend.addr);
+    let text =
+        format!("GET /health/live HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", probe.backend.addr);
     if conn::write_all(&stream, text.as_bytes(), until).is_err() {
         // The failure of a connection that was idle is no evidence about its endpoint, which may just have closed it for
         // being idle.
         return ProbeResult::without_response(
-            if reused { Outcome::NotSent } else { Outcome::ConnectFailed },
+            if idled { Outcome::NotSent } else { Outcome::ConnectFailed },
             None,
         );
     }
@@ -90,11 +90,10 @@
     let response = read_response(platform, probe, &stream, &mut buf, until);
     let latency = Micros(sent.elapsed().as_micros() as u64);
     match response {
-        Ok((head, complete)) => {
-            let reusable_stream = (complete && !head.close).then_some(stream);
-            ProbeResult { outcome: outcome_from_head(&head), latency, load: head.load, reusable_stream }
+        Ok(head) => {
+            ProbeResult { outcome: outcome_from_head(&head), latency, load: head.load, unused_stream: None }
         }
-        Err(outcome) => ProbeResult { outcome, latency, load: Vec::new(), reusable_stream: None },
+        Err(outcome) => ProbeResult { outcome, latency, load: Vec::new(), unused_stream: None },
     }
 }
 
@@ -106,14 +105,14 @@
     }
 }
 
-/// Reads the head of the response by the deadline. Returns it, and whether the response is complete and nothing follows it.
+/// Reads the head of the response by the deadline. The body is not needed.
 fn read_response(
     platform: &Platform, probe: &Probe, stream: &TcpStream, buf: &mut PooledBuffer, until: Instant,
-) -> Result<(ResponseHead, bool), Outcome> {
+) -> Result<ResponseHead, Outcome> {
     let mut filled = 0;
-    let head = loop {
+    loop {
         match http::parse_response(&buf[..filled], &platform.settings.load) {
-            Ok(Some(head)) if head.status >= 200 => break head,
+            Ok(Some(head)) if head.status >= 200 => return Ok(head),
             Ok(None) => {}
             // An interim response is an error: a request without a body asks for none.
             Ok(Some(_)) | Err(_) => return Err(Outcome::Error),
@@ -135,18 +134,5 @@
             Err(e) if errors::is_timeout(&e) => return Err(Outcome::Timeout),
             _ => return Err(Outcome::Reset),
         }
-    };
-    let by = until.min(Instant::now() + Duration::from_micros(BODY_TIMEOUT.0));
-    let complete = loop {
-        match head.response_len(&buf[..filled], false) {
-            Ok(Some(len)) => break len == filled,
-            Ok(None) if filled < buf.len() => {}
-            _ => break false,
-        }
-        match conn::read(stream, &mut buf[filled..], by) {
-            Ok(n) if n > 0 => filled += n,
-            _ => break false,
-        }
-    };
-    Ok((head, complete))
+    }
 }
