A notice goes on a connection of its own, so that no earlier 204 can end it

Callers saw: a message that ended without delivery and whose end the platform never got. Cause: notices.rs kept its connection to discovery and took the first answer on it for that of the notices just written; a second copy of the 204 before ended notices that were answered 503. Evidence: a_copy_of_an_earlier_204_delivers_no_notice failed before ("never: the platform has the notice of m-1"). Ruled out: lists and watches, each has had a connection of its own. Change: each request with notices opens its connection and says Connection: close.

--- a/src/net/platform/notices.rs
+++ b/src/net/platform/notices.rs
@@ -1,15 +1,14 @@
 //! Notices: reports that an accepted message ended without delivery. A notice is sent to discovery's address until the
-//! response is 204.
+//! response is 204. Each request has a connection of its own: a response names no notice, and a late second copy of an earlier
+//! response would end notices that were not accepted.
 
-use super::http::{self, BodyFraming};
+use super::http;
 use super::Platform;
 use crate::api::Micros;
 use crate::core::{FinalOutcome, Notice, Report};
 use crate::net::conn;
 use crossbeam_channel::Receiver;
-use std::io::Write;
-use std::net::TcpStream;
-use std::sync::Arc;
+use std::io::{self, Write};
 use std::thread;
 use std::time::Instant;
 
@@ -25,11 +24,12 @@
 const MAX_PAUSE: Micros = Micros(500_000);
 /// Maximum number of notices in one request.
 const MAX_BATCH: usize = 64;
+/// Upper bound for the length of a request's head.
+const MAX_REQUEST_HEAD_BYTES: usize = 192;
 
 /// Thread function: sends ordered notices until the channel is closed.
 pub fn run_worker(platform: &Platform, orders: &Receiver<Notice>) {
     let clock = &platform.courier.clock;
-    let mut idle_stream: Option<Arc<TcpStream>> = None;
     let (mut pause, mut timeout) = (FIRST_PAUSE, FIRST_TIMEOUT);
     let mut batch_limit = MAX_BATCH;
     let mut pending: Vec<Notice> = Vec::new();
@@ -40,17 +40,16 @@
         }
         pending.extend(orders.try_iter());
         let batch_len = pending.len().min(batch_limit);
-        match send(platform, idle_stream.take(), &pending[..batch_len], clock.instant(clock.now() + timeout))
-        {
-            Ok((204, stream)) => {
-                (idle_stream, pause, timeout, batch_limit) = (stream, FIRST_PAUSE, FIRST_TIMEOUT, MAX_BATCH);
+        match send(platform, &pending[..batch_len], clock.instant(clock.now() + timeout)) {
+            Ok(204) => {
+                (pause, timeout, batch_limit) = (FIRST_PAUSE, FIRST_TIMEOUT, MAX_BATCH);
                 for notice in pending.drain(..batch_len) {
                     platform.courier.report(Report::NoticeDelivered(notice.msg));
                 }
                 continue;
             }
             // A notice that is rejected must not hold up the others, so from now on they are sent one at a time, in turn.
-            Ok((status, _)) => {
+            Ok(status) => {
                 tracing::warn!(target: "notices", message = %pending[0].req.id, "a notice was answered {status}");
                 batch_limit = 1;
                 pending.rotate_left(1);
@@ -75,17 +74,12 @@
     }
 }
 
-fn send(
-    platform: &Platform, idle_stream: Option<Arc<TcpStream>>, notices: &[Notice], until: Instant,
-) -> std::io::Result<(u16, Option<Arc<TcpStream>>)> {
+/// Sends the notices in one request. Returns the status of the response.
+fn send(platform: &Platform, notices: &[Notice], until: Instant) -> io::Result<u16> {
     let body: String = notices.iter().map(json_line).collect();
-    // After a change of address the old connections are shut down, so this one is not idle.
-    let stream = match idle_stream.filter(|stream| conn::is_idle(stream)) {
-        Some(stream) => stream,
-        None => platform.discovery.connect(until)?,
-    };
-    let mut request = Vec::with_capacity(body.len() + 128);
-    write!(request, "POST /v1/notices HTTP/1.1\r\nHost: {}\r\n", stream.peer_addr()?)?;
+    let stream = platform.discovery.connect(until)?;
+    let mut request = Vec::with_capacity(body.len() + MAX_REQUEST_HEAD_BYTES);
+    write!(request, "POST /v1/notices HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n", stream.peer_addr()?)?;
     write!(request, "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
     conn::write_all(&stream, &request, until)?;
     let mut buf = platform.pool.get();
@@ -93,14 +87,12 @@
     loop {
         let n = conn::read(&stream, &mut buf[filled..], until)?;
         if n == 0 {
-            return Err(std::io::ErrorKind::UnexpectedEof.into());
+            return Err(io::ErrorKind::UnexpectedEof.into());
         }
         filled += n;
-        let malformed = |_| std::io::Error::from(std::io::ErrorKind::InvalidData);
+        let malformed = |_| io::Error::from(io::ErrorKind::InvalidData);
         if let Some(head) = http::parse_response(&buf[..filled], &[]).map_err(malformed)? {
-            let reusable =
-                matches!(head.body, BodyFraming::Length(n) if head.head_len + n == filled) && !head.close;
-            return Ok((head.status, reusable.then_some(stream)));
+            return Ok(head.status);
         }
     }
 }
