Mail: one transaction a connection, and 250 to a text counts once 221 has answered QUIT

Callers saw: a message whose text the partner's server had refused with 451 ended as delivered. Cause: client.rs matched replies with commands by their order, within a transaction and over the transactions of a kept connection. A second copy of the reply to RCPT, or to the text before, that came after the text was taken for the reply to it. Ruled out: a copy ahead of the text, there 354 is due and 250 is no 354; copied refusals, a transaction ends with its first one. Change: no connection carries a second transaction; no command and no text goes out while a reply is unread; QUIT follows a text that was accepted, and replies between it and 221 show that one was a copy: then the end counts only if all of them accept. 221 answers nothing but QUIT, so this holds however late a copy comes. A server that closes without 221 is believed as before. Cost: an EHLO for each message, and one more round trip until its end is known.

--- a/src/net/mail/client.rs
+++ b/src/net/mail/client.rs
@@ -3,6 +3,10 @@
 //! The last byte of a fetch is that of the final dot's line. A connection that breaks before it is written proves
 //! that the message never ran; one that breaks after it, with no reply read, may have run. A 4yz or 5yz reply
 //! proves that it did not, whenever it comes.
+//!
+//! A reply names no command. So that a late second copy of an earlier reply is not taken for a later one, a connection
+//! carries one transaction, no command is sent while a reply is unread, and a reply that says that the text is accepted
+//! counts once 221 has answered QUIT.
 
 use super::dns::zone::{MailBackend, Protocol};
 use super::lines::{self, Reply};
@@ -20,6 +24,8 @@
 const CONNECT: Micros = Micros(5_000_000);
 /// The longest wait that is read out of a reply's words; they are prose.
 const WAIT_MOST: Micros = Micros(3_600_000_000);
+/// Replies that are read after QUIT.
+const MAX_REPLIES_TO_QUIT: usize = 8;
 /// Extensions of a server, as a kept connection's tag.
 const EIGHT_BIT: u32 = 1;
 
@@ -89,12 +95,41 @@
     /// did.
     fn say(&mut self, command: &str) -> Result<Reply, Fault> {
         if !command.is_empty() {
+            self.expect_no_input()?;
             conn::write_all(self.stream, format!("{command}\r\n").as_bytes(), self.until)
                 .map_err(|e| fault(End::NotConnected, e.to_string()))?;
         }
         self.hear().map_err(|(_, said)| fault(End::NotConnected, said))
     }
 
+    /// Fails if a reply has come that no command asked for, or if the connection has ended.
+    fn expect_no_input(&self) -> Result<(), Fault> {
+        if self.filled == 0 && conn::is_idle(self.stream) {
+            return Ok(());
+        }
+        Err(fault(End::NotConnected, "the connection has ended, or a reply came that no command asked for"))
+    }
+
+    /// Ends the session after the text was accepted. The replies between that one and 221 show whether it was a copy of an
+    /// earlier reply; then the end of the message is known only if all of them say the same.
+    fn confirm_accepted(&mut self) -> End {
+        if conn::write_all(self.stream, b"QUIT\r\n", self.until).is_err() {
+            return End::Delivered;
+        }
+        let mut end = End::Delivered;
+        for _ in 0..MAX_REPLIES_TO_QUIT {
+            match self.hear() {
+                Ok(reply) if reply.code == 221 => return end,
+                Ok(reply) if (200..300).contains(&reply.code) => {}
+                Ok(_) => end = End::Spoilt(None),
+                Err((true, _)) => return End::TimedOut,
+                // Some servers close without 221.
+                Err((false, _)) => return end,
+            }
+        }
+        End::Spoilt(None)
+    }
+
     /// Reads one reply; an error says whether time ran out.
     fn hear(&mut self) -> Result<Reply, (bool, String)> {
         loop {
@@ -185,9 +220,11 @@
     if reply.code != 354 {
         // A server that says 2yz where 354 is due does not speak the protocol; nothing was sent.
         let end = if reply.code < 400 { End::NotConnected } else { refused(&reply) };
-        let open = reply.code != 421 && talk.say("RSET").is_ok_and(|r| r.code == 250);
-        return Ok((end, words(&reply), open.then(|| (stream.clone(), extensions))));
+        // An error means that the connection has ended already.
+        let _ = conn::write_all(&stream, b"QUIT\r\n", until);
+        return Ok((end, words(&reply), None));
     }
+    talk.expect_no_input()?;
     let text = lines::stuffed(&fetch.req.body);
     conn::write_all(&stream, &text, until).map_err(|e| fault(End::NotConnected, e.to_string()))?;
     mail.courier.board.count_written();
@@ -195,12 +232,11 @@
     match talk.hear() {
         Ok(reply) => {
             let end = match reply.code {
-                200..=299 => End::Delivered,
+                200..=299 => talk.confirm_accepted(),
                 400.. => refused(&reply),
                 _ => End::Failed,
             };
-            let open = reply.code != 421 && talk.filled == 0;
-            Ok((end, words(&reply), open.then(|| (stream.clone(), extensions))))
+            Ok((end, words(&reply), None))
         }
         Err((true, said)) => Err(fault(End::TimedOut, said)),
         Err((false, said)) => Err(fault(End::Broke, said)),
