A list on a watch that is not newer than the one before ends the watch

Callers saw nothing of this yet; found while looking for the same mistake: what comes on a kept connection is taken for new. Effect: a second copy of an earlier list on the watch made an endpoint that drains look up, and calls went to it. Cause: discovery.rs applied every list on a watch, whatever its version. Change: versions rise on a watch; one that does not is not applied, and the watch is opened anew from the version that is held, which also serves a discovery that really counts from the start.

--- a/src/net/platform/discovery.rs
+++ b/src/net/platform/discovery.rs
@@ -116,8 +116,11 @@
     Ok(decoder.push(&buf[..n]).map(|()| n))
 }
 
-fn report_list(platform: &Platform, json: &[u8]) -> io::Result<()> {
-    let list = ParsedList::parse(json).map_err(io::Error::other)?;
+fn parse_list(json: &[u8]) -> io::Result<ParsedList> {
+    ParsedList::parse(json).map_err(io::Error::other)
+}
+
+fn report_list(platform: &Platform, list: ParsedList) {
     let update =
         list.into_update(Source::Discovery, &platform.kind_and_zone_names, platform.courier.clock.now());
     if !update.unreadable.is_empty() {
@@ -125,7 +128,23 @@
         tracing::warn!(target: "discovery", "{count} entries of the list can't be read, {first:?} first");
     }
     platform.courier.report(Report::List { front: FRONT, update });
-    Ok(())
+}
+
+/// The version of the latest list on one watch. Discovery counts versions up, so a list that is not newer is a copy of an
+/// earlier one, and what came before it may be one too.
+#[derive(Default)]
+struct WatchedVersion(Option<u64>);
+
+impl WatchedVersion {
+    /// Takes the next list's version; an error if it is not newer.
+    fn advance(&mut self, version: u64) -> io::Result<()> {
+        match self.0.replace(version) {
+            Some(last) if version <= last => {
+                Err(io::Error::other(format!("it told version {version} of the list behind version {last}")))
+            }
+            _ => Ok(()),
+        }
+    }
 }
 
 fn watch(platform: &Platform, silence_retry: &mut SilenceRetry) -> WatchEnd {
@@ -144,7 +163,7 @@
         send_request(platform, &format!("?watch=1&after={}", platform.courier.list_version(FRONT)))?;
     let mut buf = platform.pool.get();
     let mut decoder = LineDecoder::default();
-    let mut answered = false;
+    let (mut answered, mut version) = (false, WatchedVersion::default());
     loop {
         let past_deadline = clock.now() >= deadline.expires_at();
         match read_available(platform, &stream, &mut buf, &mut deadline, &mut decoder)? {
@@ -165,7 +184,9 @@
             if line.iter().all(u8::is_ascii_whitespace) {
                 platform.courier.report(Report::ListUnchanged(FRONT));
             } else {
-                report_list(platform, &line)?;
+                let list = parse_list(&line)?;
+                version.advance(list.list.generation)?;
+                report_list(platform, list);
             }
         }
         if decoder.ended {
@@ -175,7 +196,7 @@
             }
             let list = decoder.take_text();
             if !list.iter().all(u8::is_ascii_whitespace) {
-                report_list(platform, &list)?;
+                report_list(platform, parse_list(&list)?);
             }
             return Err(WatchEnd::NotOffered);
         }
@@ -230,5 +251,6 @@
             _ => {}
         }
     }
-    report_list(platform, &decoder.take_text())
+    report_list(platform, parse_list(&decoder.take_text())?);
+    Ok(())
 }
--- a/tests/stale_answers.rs
+++ b/tests/stale_answers.rs
@@ -1,4 +1,4 @@
-//! Second copies of earlier answers that come while the next request is out on the same connection.
+//! Second copies of earlier answers that come while the next request is out on the same connection, and of earlier lists.
 
 #[path = "support/stale.rs"]
 mod stale;
@@ -7,8 +7,10 @@
 use serde_json::{json, Value};
 use stale::{Seen, StalePeer};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use support::*;
@@ -171,3 +173,57 @@
 fn names(request: &Http, id: &str) -> bool {
     String::from_utf8_lossy(&request.body).contains(id)
 }
+
+/// Guards against an older list that comes again on the watch and cancels a drain.
+#[test]
+fn a_copy_of_an_earlier_list_cancels_no_drain() {
+    let draining = endpoint(|_, _| Act::Answer(OK));
+    let other = endpoint(|_, _| Act::Answer(OK));
+    let lists = Arc::new(AtomicUsize::new(0));
+    let list = |version: u64, reset: bool, state: &str| {
+        let entries = [instance("s-1", draining.addr, 3, state), instance("s-2", other.addr, 3, "up")];
+        format!("{{\"generation\":{version},\"reset\":{reset},\"instances\":[{}]}}\n", entries.join(","))
+    };
+    let first_watch = vec![list(7, true, "up"), list(8, false, "draining"), list(7, true, "up")];
+    let later_watches = vec![list(8, true, "draining")];
+    let addr = watched_lists(vec![first_watch, later_watches], lists.clone());
+    let folder = Folder::new();
+    let mut config = config(addr, other.addr, plain_settings(1));
+    config["known"]["instances"] = json!([]);
+    let mut program = Program::start(&folder.0, &config, None);
+    let addr = program.addr("platform");
+    until("the copy has come", || lists.load(Ordering::SeqCst) >= 3);
+    thread::sleep(Duration::from_millis(300));
+    for number in 0..MESSAGES {
+        hand_in(addr, &format!("m-{number}"), "render-status");
+    }
+    let calls = |endpoint: &Endpoint| endpoint.calls.lock().unwrap().len();
+    until("all are delivered", || calls(&draining) + calls(&other) >= MESSAGES);
+    assert_eq!(calls(&draining), 0, "nothing goes to an endpoint that drains");
+}
+
+/// A discovery that tells these lists on its first watch, its second and so on, and then that nothing changes; the last entry
+/// serves all later watches.
+fn watched_lists(watches: Vec<Vec<String>>, lists: Arc<AtomicUsize>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for (nth, mut stream) in listener.incoming().map_while(Result::ok).enumerate() {
+            let (lines, lists) = (watches[nth.min(watches.len() - 1)].clone(), lists.clone());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                read_http(&mut reader);
+                stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+                let heartbeats = std::iter::repeat_n("\n".to_owned(), 1_000);
+                for line in lines.into_iter().chain(heartbeats) {
+                    if write!(stream, "{:x}\r\n{line}\r\n", line.len()).is_err() {
+                        return;
+                    }
+                    lists.fetch_add(usize::from(line.len() > 1), Ordering::SeqCst);
+                    thread::sleep(Duration::from_millis(50));
+                }
+            });
+        }
+    });
+    addr
+}
