--- a/tests/support/soak/partner.rs
+++ b/tests/support/soak/partner.rs
@@ -1,4 +1,5 @@
-//! A partner that takes, turns away, fails, drops and hangs by chance.
+//! A partner that takes, turns away, fails, drops and hangs by chance, and sends second copies of its answers: right behind the
+//! answer, or once the next call on the connection has come.
 
 use super::record::{Call, Ran, Record};
 use crate::support::{read_http, LONG};
@@ -16,6 +17,13 @@
 const BUSY: &str = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
 const NO_WAIT: Duration = Duration::ZERO;
 
+/// Of a hundred answers, how many are followed by a second copy; of a hundred calls on a connection that carried one before, how
+/// many are met by one.
+const COPIES_BEHIND_PERCENT: u32 = 10;
+const STALE_COPIES_PERCENT: u32 = 50;
+/// A copy comes so long after the answer or the call, at most.
+const MAX_COPY_DELAY_MS: u32 = 6;
+
 enum Act {
     Deliver,
     Fail,
@@ -40,6 +48,18 @@
     (act, works)
 }
 
+/// Writes a second copy of an answer, by chance. An error means that the other side has closed the connection.
+fn copy(writer: &mut TcpStream, text: &str, chance: &Mutex<Pcg64Mcg>, percent: u32) {
+    let (drawn, delay) = {
+        let mut chance = chance.lock().unwrap();
+        (chance.next_u32() % 100 < percent, chance.next_u32() % MAX_COPY_DELAY_MS)
+    };
+    if drawn {
+        thread::sleep(Duration::from_millis(delay.into()));
+        let _ = writer.write_all(text.as_bytes());
+    }
+}
+
 /// What a partner's acts are drawn from.
 #[derive(Clone)]
 pub struct Acts {
@@ -72,6 +92,7 @@
 fn serve(dest: u16, stream: TcpStream, acts: &Acts, record: &Mutex<Record>) {
     let mut writer = stream.try_clone().unwrap();
     let mut reader = BufReader::new(stream);
+    let mut last: Option<String> = None;
     while let Some(request) = read_http(&mut reader) {
         let (id, at) = (request.header("req-id").unwrap().to_owned(), Instant::now());
         let (act, works) = draw(
@@ -83,12 +104,17 @@
             calls.push(Call { id, dest, at, ran: Ran::Perhaps, wait: NO_WAIT, answered: at });
             calls.len() - 1
         };
+        if let Some(last) = last.take() {
+            copy(&mut writer, &last, &acts.chance, STALE_COPIES_PERCENT);
+        }
         thread::sleep(works);
-        let answer = |writer: &mut TcpStream, ran: Ran, wait: Duration, text: &str| {
+        let mut answer = |writer: &mut TcpStream, ran: Ran, wait: Duration, text: &str| {
             let call = &mut record.lock().unwrap().calls[index];
             // Before it is written: whoever reads it may act on it at once.
             (call.ran, call.wait, call.answered) = (ran, wait, Instant::now());
             let _ = writer.write_all(text.as_bytes());
+            copy(writer, text, &acts.chance, COPIES_BEHIND_PERCENT);
+            last = Some(text.to_owned());
         };
         match act {
             Act::Deliver => answer(&mut writer, Ran::Delivered, NO_WAIT, OK),
