--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -18,6 +18,10 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 
+/// Where [`free_port`] looks.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u32 = 18_000;
+
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
@@ -49,9 +53,12 @@
     }
 }
 
-/// Prints a port of 127.0.0.1 that is free now.
+/// Prints a port of 127.0.0.1 that is free now. It is below the range from which systems take the ports of outgoing
+/// connections; one of those could otherwise hold the port by the time that it is listened on.
 fn free_port() -> Result<(), String> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
-    println!("{}", listener.local_addr().map_err(|e| e.to_string())?.port());
+    let seed = record::now_ms() as u32 ^ std::process::id().wrapping_mul(2_654_435_761);
+    let ports = (0..PORTS).map(|n| FIRST_PORT + (seed.wrapping_add(n) % PORTS) as u16);
+    let mut free = ports.filter(|port| TcpListener::bind(("127.0.0.1", *port)).is_ok());
+    println!("{}", free.next().ok_or("no port is free")?);
     Ok(())
 }
