--- a/lab/src/deployments/listing.rs
+++ b/lab/src/deployments/listing.rs
@@ -6,6 +6,7 @@
 use indigohold::{DiscoveryMode, Micros};
 use rand::Rng;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 
 impl Play {
     pub(super) fn whole(&mut self) {
@@ -48,14 +49,22 @@
         self.tell(false, vec![line]);
     }
 
+    /// The kind of a destination's endpoints; one destination in so many has a kind that the settings do not list.
+    fn kind_name(&self, dest: usize) -> Arc<str> {
+        let kinds = &self.settings.kinds;
+        let listed = kinds.get(dest % (kinds.len() + 1));
+        listed.map_or("unlisted", |kind| kind.name.as_str()).into()
+    }
+
     fn line(&self, dest: usize, n: usize, state: EndpointState) -> EndpointRecord {
         let number = (dest * 100 + n) as u32;
         EndpointRecord {
             name: format!("e{number}"),
             addr: SocketAddr::from((Ipv4Addr::from(0x0A00_0000 + number), 80)),
             dest: dest as u16,
-            kind: (dest % self.settings.kinds.len().max(1)) as u8,
-            zone: (n % 2) as u16,
+            kind: self.kind_name(dest),
+            // The settings name no more than the first two.
+            zone: ["a", "b", "c", "d"][n % 4].into(),
             state,
             weight: self.world.weight,
             rank: 0,
@@ -67,7 +76,7 @@
         for line in &lines {
             let before = self.seen.lines.get(&line.name).and_then(|l| l.closed);
             let closed = (line.state != EndpointState::Up).then(|| before.unwrap_or(now));
-            let seen = Line { dest: line.dest, kind: line.kind, zone: line.zone, closed };
+            let seen = Line { dest: line.dest, kind: line.kind.clone(), zone: line.zone.clone(), closed };
             self.seen.lines.insert(line.name.clone(), seen);
         }
         self.generation += 1;
--- a/lab/src/deployments/seen.rs
+++ b/lab/src/deployments/seen.rs
@@ -3,19 +3,20 @@
 use super::Played;
 use indigohold::core::{End, Fetch};
 use indigohold::store::FinalOutcome;
-use indigohold::{DedupGroup, Effect, Micros, Settings};
+use indigohold::{DedupGroup, Effect, Kind, Micros, Settings};
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 /// So late a round may be: the emulator looks at the clock so often without another cause.
 pub const LOOK: Micros = Micros(20_000);
 const FAULTS_MOST: usize = 10;
 
 /// How a line of the list stands.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Line {
     pub dest: u16,
-    pub kind: u8,
-    pub zone: u16,
+    pub kind: Arc<str>,
+    pub zone: Arc<str>,
     /// Since when it takes nothing new, as it was told.
     pub closed: Option<Micros>,
 }
@@ -88,11 +89,16 @@
         self.msgs.remove(&msg);
     }
 
+    /// The kind of this name; `None`: the settings list none.
+    fn kind(&self, name: &str) -> Option<&Kind> {
+        self.settings.kinds.iter().find(|kind| kind.name == name)
+    }
+
     /// One call is ordered, with these messages.
     pub fn ordered(&mut self, now: Micros, call: &[Fetch]) {
         let to = &call[0].backend.name;
-        let kind = self.lines.get(to).map_or(0, |l| usize::from(l.kind));
-        let most = self.settings.kinds.get(kind).map_or(1, |k| k.max_batch_size.max(1));
+        let kind = self.lines.get(to).and_then(|line| self.kind(&line.kind));
+        let most = kind.map_or(1, |k| k.max_batch_size.max(1));
         self.must(now, call.len() <= most as usize, || format!("{} in a call, {most} at most", call.len()));
         if call.len() > 1 {
             self.played.together += call.len() as u64;
@@ -114,7 +120,7 @@
     pub fn begun(&mut self, now: Micros, fetch: &Fetch) {
         let (id, to) = (fetch.msg, fetch.backend.name.clone());
         self.played.calls += 1;
-        let Some(line) = self.lines.get(&to).copied() else {
+        let Some(line) = self.lines.get(&to).cloned() else {
             return self.broken(now, format!("{id} to {to}, which was never listed"));
         };
         self.must(now, line.dest == fetch.req.dest, || format!("{id} to another destination"));
@@ -122,7 +128,7 @@
         self.must(now, line.closed.is_none_or(|at| now <= at + grace), || {
             format!("{id} to {to}, which is closed")
         });
-        let apart = self.settings.kinds.get(usize::from(line.kind)).is_some_and(|k| k.separate_routes);
+        let apart = self.kind(&line.kind).is_some_and(|k| k.separate_routes);
         let wait = self.waits.get(&(line.dest, apart.then(|| to.clone()))).copied();
         self.must(now, wait.is_none_or(|until| now >= until), || format!("{id} to {to}, told to wait"));
         let Some(m) = self.msgs.get_mut(&id) else { return };
@@ -135,7 +141,7 @@
         self.must(now, most.is_none_or(|most| calls <= most), || format!("{id} called {calls} times"));
         self.must(now, now < due, || format!("{id} after its time"));
         let Some((at, first)) = risk else { return };
-        let zone = |name: &str| self.lines.get(name).map(|l| l.zone);
+        let zone = |name: &str| self.lines.get(name).map(|l| &l.zone);
         let remembered = match effect {
             Effect::Safe => true,
             Effect::Unsafe => false,
@@ -165,7 +171,7 @@
         if let (End::TurnedAway(Some(wait)) | End::Spoilt(Some(wait)), Some(line)) =
             (end, self.lines.get(&fetch.backend.name))
         {
-            let apart = self.settings.kinds.get(usize::from(line.kind)).is_some_and(|k| k.separate_routes);
+            let apart = self.kind(&line.kind).is_some_and(|k| k.separate_routes);
             let whom = (line.dest, apart.then(|| fetch.backend.name.clone()));
             let until = self.waits.entry(whom).or_default();
             *until = (*until).max(now + wait);
--- a/lab/src/policies/plain.rs
+++ b/lab/src/policies/plain.rs
@@ -20,7 +20,7 @@
     message: Message,
     tries: u32,
     out: bool,
-    risk: Option<(Micros, EndpointId)>,
+    risk: Option<SentAttempt>,
     over: bool,
 }
 
@@ -90,7 +90,7 @@
         }
     }
 
-    fn take(&mut self, message: &Message, tries: u32, risk: Option<(Micros, EndpointId)>) {
+    fn take(&mut self, message: &Message, tries: u32, risk: Option<SentAttempt>) {
         let line = self.lines.entry(message.destination).or_default();
         if let Tactic::Budget { ratio, most } = self.tactic {
             line.tokens = (line.tokens + ratio).min(most);
@@ -106,7 +106,7 @@
         let left = item.tries < self.set.limits.max_attempts.unwrap_or(u32::MAX);
         let safe = match (item.risk, self.effect(&item.message)) {
             (None, _) | (_, Effect::Safe) => true,
-            (Some((sent, _)), Effect::Keyed { window, .. }) => now + LAST < sent + window,
+            (Some(earlier), Effect::Keyed { window, .. }) => now + LAST < earlier.sent_at + window,
             (Some(_), Effect::Unsafe) => false,
         };
         in_time && left && safe
@@ -149,7 +149,7 @@
         self.busy = self.busy.saturating_sub(1);
         use Outcome::*;
         if matches!(outcome, Error | InvalidAnswer(_) | Timeout | Reset | Cancelled) {
-            item.risk.get_or_insert((now, endpoint));
+            item.risk.get_or_insert(SentAttempt { sent_at: now, endpoint, zone: None });
         }
         let (to, over, tries) = (item.message.destination, item.over, item.tries);
         let line = self.lines.entry(to).or_default();
@@ -250,10 +250,9 @@
         };
         let class = self.set.classes.get(usize::from(item.message.class.0));
         let fits: Vec<EndpointId> = match (item.risk, class.map(|c| c.effect)) {
-            (
-                Some((_, first)),
-                Some(Effect::Keyed { group: DedupGroup::Endpoint | DedupGroup::Zone, .. }),
-            ) => line.endpoints.iter().copied().filter(|e| *e == first).collect(),
+            (Some(earlier), Some(Effect::Keyed { group: DedupGroup::Endpoint | DedupGroup::Zone, .. })) => {
+                line.endpoints.iter().copied().filter(|e| *e == earlier.endpoint).collect()
+            }
             _ => line.endpoints.clone(),
         };
         if fits.is_empty() {
--- a/lab/src/virtual_time/life.rs
+++ b/lab/src/virtual_time/life.rs
@@ -136,7 +136,7 @@
     Settings {
         senders: scenario.courier.instances as u32,
         classes: scenario.classes.iter().map(class).collect(),
-        kinds: vec![Kind { separate_routes: false, max_batch_size: 1 }],
+        kinds: vec![Kind { name: String::new(), separate_routes: false, max_batch_size: 1 }],
         tenants: scenario.tenants.iter().map(|t| Tenant { quota_per_s: t.quota }).collect(),
         over_share_worth: None,
         worth_decay: WorthDecay::Linear,
--- a/lab/src/virtual_time/mod.rs
+++ b/lab/src/virtual_time/mod.rs
@@ -817,8 +817,8 @@
         name: format!("e{endpoint}"),
         addr: SocketAddr::from((Ipv4Addr::from(0x0A00_0000 + endpoint), 80)),
         dest: dest as u16,
-        kind: 0,
-        zone: 0,
+        kind: "".into(),
+        zone: "".into(),
         state: match state {
             Listed::Up => EndpointState::Up,
             Listed::Draining => EndpointState::Draining,
--- a/lab/tests/settings.rs
+++ b/lab/tests/settings.rs
@@ -105,7 +105,7 @@
         (family, limits, invariants, of(0.0f64..1.0)).prop_map(move |(family, limits, invariants, over)| {
             let mut out = json!({"balancers": couriers, "profiles": profiles, "discovery": discovery,
                 "period": period, "tenants": tenants, "failureDomains": ["a", "b"],
-                "kinds": vec!["k"; kinds], "loadReport": {"names": report}, "familyInfo": family,
+                "kinds": (0..kinds).map(|n| format!("k{n}")).collect::<Vec<_>>(), "loadReport": {"names": report}, "familyInfo": family,
                 "limits": limits, "invariants": invariants});
             if let Some(weights) = weights {
                 out["weights"] = weights.into();
--- a/src/api/events.rs
+++ b/src/api/events.rs
@@ -40,8 +40,8 @@
     pub destination: DestinationId,
     /// Its kind.
     pub kind: KindId,
-    /// The zone that it runs in.
-    pub zone: ZoneId,
+    /// The zone that it runs in; `None`: not known.
+    pub zone: Option<ZoneId>,
     /// Its listing state.
     pub state: ListingState,
     /// Its weight; [`Weights`](super::Weights) says what it means.
@@ -50,6 +50,17 @@
     pub rank: u16,
 }
 
+/// When and where an attempt was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SentAttempt {
+    /// When it was sent.
+    pub sent_at: Micros,
+    /// The endpoint that it was sent to.
+    pub endpoint: EndpointId,
+    /// The zone that the endpoint was listed in at that time; `None`: not known.
+    pub zone: Option<ZoneId>,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -86,8 +97,8 @@
         message: Message,
         /// The number of attempts made so far.
         attempts: u32,
-        /// The first attempt that may have taken effect: when it was sent, and to which endpoint.
-        first_uncertain: Option<(Micros, EndpointId)>,
+        /// The first attempt that may have taken effect.
+        first_uncertain: Option<SentAttempt>,
     },
     /// An attempt ended.
     Returned {
@@ -133,10 +144,8 @@
     CallInFlight {
         /// The message.
         id: MessageId,
-        /// The endpoint that the call was sent to.
-        endpoint: EndpointId,
-        /// When the call was sent.
-        sent: Micros,
+        /// When and where the call was sent.
+        attempt: SentAttempt,
     },
     /// An endpoint was restarted while an operator had taken it out. It is in use again, and its caches are cold.
     Restarted(EndpointId),
--- a/src/api/ids.rs
+++ b/src/api/ids.rs
@@ -1,6 +1,7 @@
 //! Time values and the ids of messages, endpoints and peers.
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use std::fmt;
 use std::ops::{Add, Sub};
 
@@ -54,8 +55,8 @@
     ClassId(u16);
     /// A tenant: its position in [`Settings::tenants`](super::Settings::tenants).
     TenantId(u16);
-    /// A zone: its position in the list of zones in the settings.
-    ZoneId(u16);
+    /// A zone. [`ZoneId::of_name`] derives it from the zone's name, whether the settings list that name or not.
+    ZoneId(u64);
     /// A kind of destination: its position in [`Settings::kinds`](super::Settings::kinds).
     KindId(u8);
     /// An ordering key: messages with one key are delivered in order if their class requires it.
@@ -66,6 +67,20 @@
     TimerToken(u64);
 }
 
+impl ZoneId {
+    /// The id of the zone with this name, the same in every process and on every courier; `None` if the name is empty.
+    pub fn of_name(name: &str) -> Option<ZoneId> {
+        let digest = Sha256::digest(name.as_bytes());
+        let [a, b, c, d, e, f, g, h, ..] = <[u8; 32]>::from(digest);
+        (!name.is_empty()).then_some(ZoneId(u64::from_le_bytes([a, b, c, d, e, f, g, h])))
+    }
+}
+
+impl KindId {
+    /// A kind that the settings do not list: one message in a call, and no separate routes.
+    pub const UNLISTED: KindId = KindId(u8::MAX);
+}
+
 /// One endpoint of a destination.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId {
--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -18,6 +18,13 @@
     Unsafe,
 }
 
+impl Effect {
+    /// Whether only the endpoints of one zone drop a repeat.
+    pub(crate) fn is_keyed_by_zone(self) -> bool {
+        matches!(self, Effect::Keyed { group: DedupGroup::Zone, .. })
+    }
+}
+
 /// The endpoints of a destination that drop a repeat of an earlier attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DedupGroup {
@@ -77,8 +84,10 @@
 }
 
 /// A kind of destination.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Kind {
+    /// Its name in the endpoint list; empty if the settings give it none.
+    pub name: String,
     /// Each endpoint is a separate route with its own rate limit, send rate and outages.
     pub separate_routes: bool,
     /// The maximum number of messages in one call.
--- a/src/bin/indigohold-benchlink/wire.rs
+++ b/src/bin/indigohold-benchlink/wire.rs
@@ -122,7 +122,7 @@
 fn list_entry(r: &mut Reader) -> Result<Entry, String> {
     let endpoint = r.endpoint()?;
     let _up_since = r.u64()?;
-    let zone = ZoneId(r.u16()?);
+    let zone = Some(ZoneId(u64::from(r.u16()?)));
     let state = match r.u8()? {
         1 => ListingState::Gone,
         2 => ListingState::Ready,
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -239,7 +239,7 @@
                 } else if !["up", "draining", "removed"].contains(&instance.lifecycle.as_str()) {
                     let fault = "is none of up, draining and removed";
                     out.push(format!("{at}.lifecycle: {:?} {fault}", instance.lifecycle));
-                } else if instance.to_record(&KindAndZoneNames::default()).is_none() {
+                } else if instance.to_record().is_none() {
                     out.push(format!("{at}.instanceId: empty or too long"));
                 }
                 if let Some(before) = seen.insert(instance.instance_id.clone(), index) {
--- a/src/core/attempt_log.rs
+++ b/src/core/attempt_log.rs
@@ -5,7 +5,7 @@
 
 use super::{Core, End, Fetch, FinalOutcome};
 use crate::api::Micros;
-use crate::store::MessageState;
+use crate::store::{MessageState, StartedAttempt};
 use serde_json::{json, Value};
 
 /// Why the first byte of an attempt may not be sent. The variant names are written to logs.
@@ -73,7 +73,7 @@
     /// Counts a message that is resumed from an earlier process, and logs it if a call of it may have run.
     pub(super) fn resumed(&mut self, now: Micros, owed: &MessageState) {
         let first_call = owed.first_uncertain.as_ref().or(owed.open_attempt.as_ref());
-        let Some((called_at, endpoint)) = first_call else {
+        let Some(StartedAttempt { at: called_at, backend: endpoint, .. }) = first_call else {
             let count =
                 if owed.attempts == 0 { &mut self.resumed_untried } else { &mut self.resumed_never_ran };
             *count += 1;
@@ -101,7 +101,7 @@
         counts.begun += 1;
         let first_call =
             self.journal.pending().get(&fetch.msg).and_then(|owed| owed.first_uncertain.as_ref());
-        let Some((called_at, _)) = first_call else {
+        let Some(StartedAttempt { at: called_at, .. }) = first_call else {
             tracing::debug!(
                 target: "attempts", id = %fetch.req.id, attempt = fetch.attempt, endpoint = %fetch.backend.name, "begins"
             );
--- a/src/core/backend_lists.rs
+++ b/src/core/backend_lists.rs
@@ -2,7 +2,7 @@
 //! ids, and applies administrative overrides.
 
 use super::{returned_event, Backend, Core, EndpointState, Order, PLATFORM_FRONT};
-use crate::api::{DestinationId, EndpointId, Entry, Event, KindId, ListingState, Micros, Outcome, ZoneId};
+use crate::api::{DestinationId, EndpointId, Entry, Event, ListingState, Micros, Outcome, ZoneId};
 use crate::register::trust::CallEnd;
 use crate::register::{EndpointChange, RegistryEffects};
 use std::sync::Arc;
@@ -65,11 +65,12 @@
         for EndpointChange { record: line, ejected } in news.changes {
             let key = (front, line.name.clone());
             let endpoint = self.endpoint_id(front, &line.name);
+            let kind = self.listed_kinds.kind_of(&line);
             lines.push(Entry {
                 endpoint,
                 destination: DestinationId(line.dest),
-                kind: KindId(line.kind),
-                zone: ZoneId(line.zone),
+                kind,
+                zone: ZoneId::of_name(&line.zone),
                 state: match line.state {
                     EndpointState::Up if ejected => ListingState::Draining,
                     EndpointState::Up => ListingState::Ready,
@@ -79,8 +80,9 @@
                 weight: line.weight,
                 rank: line.rank,
             });
-            self.batches.set_kind(endpoint, line.kind);
-            let listed = Arc::new(Backend { name: key.1, addr: line.addr });
+            self.batches.set_kind(endpoint, kind);
+            let listed =
+                Arc::new(Backend { name: key.1, addr: line.addr, zone: ZoneId::of_name(&line.zone) });
             if line.state == EndpointState::Gone {
                 self.removed_backends.push_back((now, front, listed.clone()));
             }
--- a/src/core/batches.rs
+++ b/src/core/batches.rs
@@ -2,7 +2,7 @@
 //! settings for its kind. The members stay separate fetches; the call waits until all answers that accepted them are written.
 
 use super::{Core, Fetch, Order};
-use crate::api::{EndpointId, Micros};
+use crate::api::{EndpointId, KindId, Micros};
 use std::collections::BTreeMap;
 
 /// An attempt that the decision module has ordered.
@@ -26,7 +26,7 @@
 pub(super) struct Batches {
     /// Most messages in one call, by kind of endpoint.
     max_messages_by_kind: Vec<u32>,
-    kinds: BTreeMap<EndpointId, u8>,
+    kinds: BTreeMap<EndpointId, KindId>,
     pending: BTreeMap<u64, PendingBatch>,
     next_batch: u64,
 }
@@ -42,7 +42,7 @@
     }
 
     /// Records the kind of a listed endpoint.
-    pub(super) fn set_kind(&mut self, at: EndpointId, kind: u8) {
+    pub(super) fn set_kind(&mut self, at: EndpointId, kind: KindId) {
         self.kinds.insert(at, kind);
     }
 
@@ -52,7 +52,7 @@
     }
 
     fn max_messages(&self, at: EndpointId) -> usize {
-        let most = self.kinds.get(&at).and_then(|kind| self.max_messages_by_kind.get(usize::from(*kind)));
+        let most = self.kinds.get(&at).and_then(|kind| self.max_messages_by_kind.get(usize::from(kind.0)));
         most.map_or(1, |most| (*most as usize).max(1))
     }
 
@@ -170,7 +170,8 @@
             head: String::new(),
             body: Vec::new().into(),
         };
-        let backend = Arc::new(Backend { name: "b".into(), addr: "127.0.0.1:1".parse().unwrap() });
+        let backend =
+            Arc::new(Backend { name: "b".into(), addr: "127.0.0.1:1".parse().unwrap(), zone: None });
         let at = EndpointId { addr: [0; 4], port: 0 };
         Fetch {
             msg,
--- a/src/core/fetch_calls.rs
+++ b/src/core/fetch_calls.rs
@@ -6,7 +6,7 @@
 use crate::api::{Event, MessageId, Micros, Outcome};
 use crate::register::trust::{CallEnd, CallReport};
 use crate::register::RegistryEffects;
-use crate::store::EndKind;
+use crate::store::{EndKind, StartedAttempt};
 
 impl Core {
     /// Whether the first byte of a fetch may be sent now; if so, the journal has recorded the attempt.
@@ -28,9 +28,14 @@
         let is_replay = |fetch: &Fetch| self.replays.contains(fetch.msg);
         let first_calls =
             fetches.iter().zip(&reasons).filter(|(fetch, why)| why.is_none() && !is_replay(fetch));
-        let attempts: Vec<(u64, &str)> =
-            first_calls.map(|(fetch, _)| (fetch.msg, fetch.backend.name.as_str())).collect();
-        let recorded = self.journal.start_attempts(now, &attempts).is_ok();
+        let started = |fetch: &Fetch| StartedAttempt {
+            at: now,
+            backend: fetch.backend.name.clone(),
+            zone: fetch.backend.zone,
+        };
+        let attempts: Vec<(u64, StartedAttempt)> =
+            first_calls.map(|(fetch, _)| (fetch.msg, started(fetch))).collect();
+        let recorded = self.journal.start_attempts(&attempts).is_ok();
         for (fetch, why) in fetches.iter().zip(&mut reasons).filter(|(_, why)| why.is_none()) {
             let goes = match self.replays.contains(fetch.msg) {
                 true => self.claim_replay(now, fetch.msg),
--- a/src/core/handover.rs
+++ b/src/core/handover.rs
@@ -4,8 +4,9 @@
 
 use super::{Answer, End, Notice, PendingMessage, Report};
 use super::{Backend, Core, Courier, Fetch, FinishedFetch, Order};
-use crate::api::{EndpointId, EngineState, Event, MessageId, Micros};
+use crate::api::{EndpointId, EngineState, Event, MessageId, Micros, SentAttempt};
 use crate::register::kept_copy::ListSnapshot;
+use crate::store::StartedAttempt;
 use crossbeam_channel::Sender;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -165,6 +166,12 @@
         self.policy.import_state(std::mem::take(&mut received.policy));
     }
 
+    /// An attempt of the journal, with the decision module's id of its backend.
+    fn sent_attempt(&mut self, front: u8, attempt: &StartedAttempt) -> SentAttempt {
+        let endpoint = self.endpoint_id(front, &attempt.backend);
+        SentAttempt { sent_at: attempt.at, endpoint, zone: attempt.zone }
+    }
+
     /// Resumes the messages that the journal lists as pending. Calls that the journal has as open are still in flight in
     /// the process that handed over.
     pub(super) fn resume(&mut self, now: Micros, received: Option<&HandoverState>) {
@@ -198,28 +205,38 @@
                 continue;
             }
             match owed.open_attempt {
-                Some((sent, name)) => {
+                Some(open) => {
                     held.in_flight = true;
-                    let risk =
-                        owed.first_uncertain.map(|(at, name)| (at, self.endpoint_id(req.front, &name)));
-                    let at = self.endpoint_id(req.front, &name);
+                    let risk = owed.first_uncertain.map(|attempt| self.sent_attempt(req.front, &attempt));
+                    let attempt_in_flight = self.sent_attempt(req.front, &open);
                     events.push(Event::Resumed {
                         message: super::policy_message(id, &req),
                         attempts: owed.attempts,
                         first_uncertain: risk,
                     });
-                    events.push(Event::CallInFlight { id: MessageId(id), endpoint: at, sent });
+                    events.push(Event::CallInFlight { id: MessageId(id), attempt: attempt_in_flight });
                     let attempt = owed.attempts.saturating_sub(1) as u8;
                     // The address is not used: the connection belongs to the old process.
-                    let backend =
-                        Arc::new(Backend { name, addr: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)) });
+                    let backend = Arc::new(Backend {
+                        name: open.backend,
+                        addr: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+                        zone: open.zone,
+                    });
                     let until = req.due;
-                    self.predecessor_fetches
-                        .insert(id, Fetch { msg: id, attempt, endpoint: at, backend, req, deadline: until });
+                    self.predecessor_fetches.insert(
+                        id,
+                        Fetch {
+                            msg: id,
+                            attempt,
+                            endpoint: attempt_in_flight.endpoint,
+                            backend,
+                            req,
+                            deadline: until,
+                        },
+                    );
                 }
                 None => {
-                    let risk =
-                        owed.first_uncertain.map(|(at, name)| (at, self.endpoint_id(req.front, &name)));
+                    let risk = owed.first_uncertain.map(|attempt| self.sent_attempt(req.front, &attempt));
                     events.push(Event::Resumed {
                         message: super::policy_message(id, &req),
                         attempts: owed.attempts,
--- a/src/core/message_lookup.rs
+++ b/src/core/message_lookup.rs
@@ -132,7 +132,7 @@
                 },
                 attempts: held.attempts,
                 deadline: req.due,
-                backend: open.map(|(_, name)| name.clone()),
+                backend: open.map(|attempt| attempt.backend.clone()),
             };
         }
         match self.recent_outcomes.outcomes_by_id.get(id) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod handover;
 mod history_feed;
 mod journal_outage;
+mod listed_kinds;
 pub mod memory;
 pub mod message_lookup;
 pub mod neighbours;
@@ -37,6 +38,7 @@
 use crossbeam_channel::Receiver;
 use draining::Draining;
 use handover::{HandoverState, Ownership};
+use listed_kinds::ListedKinds;
 use memory::MemoryFile;
 use neighbours::ProbesAndNotes;
 pub use orders::*;
@@ -116,6 +118,7 @@
     /// The listed backends, the source of each and how far each is trusted.
     register: Registry,
     batches: Batches,
+    listed_kinds: ListedKinds,
     /// Fetches that wait for their turn at a backend that is not fully trusted, with their timeouts.
     waiting_fetches: BTreeMap<u64, (Fetch, Micros)>,
     draining: Draining,
@@ -192,6 +195,7 @@
             removed_backends: VecDeque::new(),
             register: Registry::new(options.register, seed),
             batches,
+            listed_kinds: ListedKinds::new(settings),
             waiting_fetches: BTreeMap::new(),
             draining,
             neighbours: ProbesAndNotes::new(settings.limits.probes, settings.limits.gossip),
@@ -381,4 +385,6 @@
     pub name: String,
     /// Address on which it listens.
     pub addr: SocketAddr,
+    /// The zone that it is listed in.
+    pub zone: Option<ZoneId>,
 }
--- a/src/core/replaying.rs
+++ b/src/core/replaying.rs
@@ -4,7 +4,7 @@
 //! the claim is closed after the call. The journal has no record of it.
 
 use super::{policy_message, returned_event, Core, End, FinishedFetch, PendingMessage, Req};
-use crate::api::{Class, DedupGroup, Effect, Event, MessageId, Micros, Outcome, Settings};
+use crate::api::{Class, DedupGroup, Effect, Event, MessageId, Micros, Outcome, SentAttempt, Settings};
 use crate::history::keeper::Keeper;
 use crate::history::reading::World;
 use crate::history::replay::{Gate, Life, Live, Not, Order, Run};
@@ -245,7 +245,9 @@
                 // If not all endpoints remember the key, the decision module must know which do. The call then counts as a
                 // repeat, and the module limits repeats in proportion to the other calls.
                 if group != DedupGroup::All && !kept.first.1.is_empty() {
-                    risk = Some((begun, self.endpoint_id(kept.front, &kept.first.1)));
+                    let endpoint = self.endpoint_id(kept.front, &kept.first.1);
+                    // The history does not keep the zone, so a class keyed by zone goes to the same endpoint.
+                    risk = Some(SentAttempt { sent_at: begun, endpoint, zone: None });
                 }
             }
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -170,14 +170,13 @@
     let mut reloads = Vec::<ReloadFn>::new();
     let (mut copy_writer, mut static_file) = (None, None);
     if let Some(listen) = config.listen {
-        let places = names.places();
         let now = courier.clock.now();
         let report = |update: ListUpdate| {
             courier.report(Report::List { front: platform::FRONT, update });
         };
         let list = ParsedList { list: known_list, unreadable: Vec::new() };
         // The list in the configuration counts as a full list even if it is marked otherwise.
-        report(ListUpdate { is_full_list: true, ..list.into_update(Source::Configured, &places, now) });
+        report(ListUpdate { is_full_list: true, ..list.into_update(Source::Configured, now) });
         if copy_rules.enabled {
             let (copy, warnings) = kept_copy::read(&state);
             warnings.iter().for_each(|warning| tracing::warn!(target: "register", "{warning}"));
@@ -186,19 +185,16 @@
                 let from_future = copy.confirmed_at() > now;
                 let as_of = if from_future { now - register.rules.max_copy_age } else { copy.confirmed_at() };
                 let list = ParsedList { list: copy.list, unreadable: Vec::new() };
-                report(ListUpdate {
-                    is_full_list: true,
-                    ..list.into_update(Source::KeptCopy, &places, as_of)
-                });
+                report(ListUpdate { is_full_list: true, ..list.into_update(Source::KeptCopy, as_of) });
             }
-            copy_writer = Some(KeptCopyWriter::new(&state, copy_rules, places.clone()));
+            copy_writer = Some(KeptCopyWriter::new(&state, copy_rules));
         }
         for (front, list) in lists {
             let update = ListUpdate::full(Source::Discovery, list.generation, list.records, now);
             courier.report(Report::List { front, update });
         }
         if let Some(file) = register.static_file {
-            let mut file = StaticFile::new(file, places);
+            let mut file = StaticFile::new(file);
             file.read_if_changed(now).into_iter().for_each(report);
             static_file = Some(file);
         }
--- a/src/history/store.rs
+++ b/src/history/store.rs
@@ -239,7 +239,7 @@
             .first_uncertain
             .clone()
             .or_else(|| owed.open_attempt.clone())
-            .unwrap_or((ended, String::new()));
+            .map_or((ended, String::new()), |attempt| (attempt.at, attempt.backend));
         let kept = Kept {
             id: req.id.clone(),
             front: req.front,
--- a/src/net/mail/config.rs
+++ b/src/net/mail/config.rs
@@ -76,8 +76,8 @@
     pub dest: u16,
     /// The class of a message to it that names none.
     pub class: u16,
-    /// Kind of destination.
-    pub kind: u8,
+    /// Name of its kind in the settings; empty: none.
+    pub kind: String,
     /// Calls a second that it takes from all couriers; 0: not known.
     pub rate: f64,
 }
@@ -183,7 +183,10 @@
             return Err(format!("{what}: dest {} is taken", partner.dest));
         }
         let class = *classes.get(&partner.class).ok_or(format!("{what}: no such class {}", partner.class))?;
-        let kind = names.kinds.iter().position(|k| *k == partner.kind).unwrap_or(0) as u8;
+        let kind = partner.kind;
+        if !kind.is_empty() && !names.kinds.contains(&kind) {
+            return Err(format!("{what}: no such kind {kind}"));
+        }
         let key = plain(&domain);
         partners.insert(key, Partner { domain, dest: partner.dest, class, kind, rate: partner.rate });
     }
--- a/src/net/platform/discovery.rs
+++ b/src/net/platform/discovery.rs
@@ -121,8 +121,7 @@
 }
 
 fn report_list(platform: &Platform, list: ParsedList) {
-    let update =
-        list.into_update(Source::Discovery, &platform.kind_and_zone_names, platform.courier.clock.now());
+    let update = list.into_update(Source::Discovery, platform.courier.clock.now());
     if !update.unreadable.is_empty() {
         let (count, first) = (update.unreadable.len(), &update.unreadable[0]);
         tracing::warn!(target: "discovery", "{count} entries of the list can't be read, {first:?} first");
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -21,7 +21,6 @@
 use crate::config::ProcessLimits;
 use crate::core::Courier;
 use crate::register::address_rotation::AddressRotation;
-use crate::register::list::KindAndZoneNames;
 use crate::settings::NetworkSettings;
 use crossbeam_channel::{bounded, unbounded};
 use discovery_connections::DiscoveryConnections;
@@ -53,8 +52,6 @@
     pub courier: Arc<Courier>,
     /// Settings of the network code, among them the names that are used on the wire.
     pub settings: NetworkSettings,
-    /// Names of kinds and zones in discovery's lists.
-    pub kind_and_zone_names: KindAndZoneNames,
     /// Whether any kind of destination accepts several messages in one call.
     pub batches: bool,
     /// Interval at which the full list is read where discovery offers no watch.
@@ -88,7 +85,6 @@
     let acceptor = AcceptorHandle::new();
     let platform = Arc::new(Platform {
         courier: courier.clone(),
-        kind_and_zone_names: settings.places(),
         batches: settings.batches,
         settings,
         poll_interval,
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -156,7 +156,8 @@
             Health::Healthy | Health::HalfOpen => {}
         }
         let timeout = call_timeout(now, held, e);
-        held.in_flight = Some(Attempt { endpoint: to, call, sent_at: now, number: held.attempts as u8 });
+        let number = held.attempts as u8;
+        held.in_flight = Some(Attempt { endpoint: to, zone: e.zone, call, sent_at: now, number });
         held.attempts += 1;
         actions.push(Action::Try { id, endpoint: to, timeout });
         if is_trial {
@@ -165,14 +166,18 @@
     }
 
     /// Whether a call may still begin; asked just before its first byte. While a connection is being opened
-    /// its endpoint may start to drain, and its destination may tell the sender to wait or forget an earlier
-    /// call.
+    /// its endpoint may start to drain or change its zone, and its destination may tell the sender to wait or
+    /// forget an earlier call.
     pub fn may_begin(&self, now: Micros, message: MessageId, id: EndpointId) -> bool {
         let Some(e) = self.endpoints.get(&id).filter(|e| e.listed == ListingState::Ready) else {
             return false;
         };
-        let in_time = self.messages.get(&message).is_none_or(|held| now < self.latest_send_time(held));
-        in_time && self.routes.get(&e.route).is_none_or(|r| r.wait_until <= now)
+        let permitted = |held: &HeldMessage| {
+            let zone_unchanged = held.in_flight.as_ref().is_none_or(|attempt| attempt.zone == e.zone);
+            now < self.latest_send_time(held) && (zone_unchanged || !held.effect.is_keyed_by_zone())
+        };
+        self.messages.get(&message).is_none_or(permitted)
+            && self.routes.get(&e.route).is_none_or(|r| r.wait_until <= now)
     }
 }
 
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -37,7 +37,7 @@
         }
         let may_still_run = matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if may_still_run || matches!(outcome, Outcome::Error | Outcome::InvalidAnswer(_)) {
-            held.may_have_run.get_or_insert((attempt.sent_at, attempt.endpoint));
+            held.may_have_run.get_or_insert(attempt.sent());
         }
         let quiet_time = self.settings.rules.key_quiet.unwrap_or_default();
         let key_queue = held.message.key.and_then(|k| self.key_queues.get_mut(&k));
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -97,8 +97,8 @@
         let due = held.message.due - self.settings.period.scale(FINAL_ROUNDS_WITHOUT_SEND);
         match (held.may_have_run, held.effect) {
             (None, _) | (_, Effect::Safe) => due,
-            (Some((sent_at, at)), Effect::Keyed { window, .. }) => {
-                let upper = self.endpoints.get(&at).and_then(Endpoint::upper_latency).unwrap_or(0.0);
+            (Some(SentAttempt { sent_at, endpoint, .. }), Effect::Keyed { window, .. }) => {
+                let upper = self.endpoints.get(&endpoint).and_then(Endpoint::upper_latency).unwrap_or(0.0);
                 let work = Micros::from_secs(upper * REPEAT_UPPER_LATENCIES);
                 let fraction = window.scale(MIN_REPEAT_FRACTION_OF_WINDOW);
                 let min = fraction.max(self.settings.period).max(MAX_SEND_DELAY);
--- a/src/policy/round.rs
+++ b/src/policy/round.rs
@@ -71,7 +71,7 @@
             }
             Event::TimerElapsed(_) => self.timer_at = self.timer_at.filter(|at| *at > now),
             Event::PeerGossip { bytes, .. } => self.receive_note(now, bytes),
-            Event::CallInFlight { id, endpoint, sent } => self.restore_call(*id, *endpoint, *sent),
+            Event::CallInFlight { id, attempt } => self.restore_call(*id, *attempt),
             Event::Restarted(id) => self.endpoints.get_mut(id).into_iter().for_each(|e| e.start_cold(now)),
             Event::AnswerStarted(_) => {}
         }
--- a/src/register/kept_copy.rs
+++ b/src/register/kept_copy.rs
@@ -1,7 +1,7 @@
 //! The kept copy: the last list of discovery, in a [`ChecksummedFile`] in the state folder. [`WriteSchedule`] decides when
 //! to write, without I/O or clock; [`KeptCopyWriter`] writes.
 
-use super::list::{DiscoveryList, Instance, KindAndZoneNames};
+use super::list::{DiscoveryList, Instance};
 use super::EndpointRecord;
 use crate::api::Micros;
 use crate::store::checksummed_file::ChecksummedFile;
@@ -161,7 +161,6 @@
 pub struct KeptCopyWriter {
     dir: PathBuf,
     rules: KeptCopyRules,
-    place_names: KindAndZoneNames,
     schedule: WriteSchedule,
     /// Whether the last list did not fit, so that this is logged only once.
     too_long: bool,
@@ -169,14 +168,8 @@
 
 impl KeptCopyWriter {
     /// Creates the writer for a folder.
-    pub fn new(dir: &Path, rules: KeptCopyRules, place_names: KindAndZoneNames) -> KeptCopyWriter {
-        KeptCopyWriter {
-            dir: dir.to_owned(),
-            rules,
-            place_names,
-            schedule: WriteSchedule::default(),
-            too_long: false,
-        }
+    pub fn new(dir: &Path, rules: KeptCopyRules) -> KeptCopyWriter {
+        KeptCopyWriter { dir: dir.to_owned(), rules, schedule: WriteSchedule::default(), too_long: false }
     }
 
     /// Whether this revision of the list must be written now.
@@ -187,8 +180,7 @@
     /// Writes a list. `free`: bytes in the folder that the journal does not take. Returns a line for the log if the
     /// list was not written.
     pub fn write(&mut self, now: Micros, snapshot: &ListSnapshot, free: u64) -> Option<String> {
-        let instances =
-            snapshot.records.iter().map(|r| Instance::from_record(r, &self.place_names)).collect();
+        let instances = snapshot.records.iter().map(Instance::from_record).collect();
         let list = DiscoveryList { generation: snapshot.generation, reset: true, instances };
         let bytes = encode(&KeptList { confirmed_ms: snapshot.confirmed_at.0 / 1000, list });
         let length = bytes.len() as u64;
--- a/src/register/list.rs
+++ b/src/register/list.rs
@@ -6,6 +6,8 @@
 use crate::api::Micros;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::collections::HashSet;
+use std::sync::Arc;
 
 /// A full list, or the changes to one.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
@@ -44,7 +46,7 @@
     pub weight: Option<f64>,
 }
 
-/// Names of kinds and zones, in the order of the settings, by which records refer to them.
+/// Names of the kinds and zones that the settings list.
 #[derive(Debug, Clone, Default)]
 pub struct KindAndZoneNames {
     /// Kinds.
@@ -91,11 +93,12 @@
     }
 
     /// Makes an update from a source of this list.
-    pub fn into_update(self, source: Source, names: &KindAndZoneNames, as_of: Micros) -> ListUpdate {
+    pub fn into_update(self, source: Source, as_of: Micros) -> ListUpdate {
         let ParsedList { list, mut unreadable } = self;
         let mut records = Vec::with_capacity(list.instances.len());
+        let mut names = SharedNames::default();
         for instance in list.instances {
-            match instance.to_record(names) {
+            match instance.to_record_sharing(&mut names) {
                 Some(record) => records.push(record),
                 None => unreadable.push(instance.instance_id),
             }
@@ -111,16 +114,36 @@
     }
 }
 
+/// Kind and zone names of one list; each is stored once.
+#[derive(Default)]
+struct SharedNames(HashSet<Arc<str>>);
+
+impl SharedNames {
+    fn get(&mut self, name: &str) -> Arc<str> {
+        match self.0.get(name) {
+            Some(shared) => shared.clone(),
+            None => {
+                let shared: Arc<str> = name.into();
+                self.0.insert(shared.clone());
+                shared
+            }
+        }
+    }
+}
+
 impl Instance {
     /// Converts the entry to a record. `None` if its address, id or lifecycle is not valid.
-    pub fn to_record(&self, names: &KindAndZoneNames) -> Option<EndpointRecord> {
-        let position = |list: &[String], name: &str| list.iter().position(|n| n == name).unwrap_or(0);
+    pub fn to_record(&self) -> Option<EndpointRecord> {
+        self.to_record_sharing(&mut SharedNames::default())
+    }
+
+    fn to_record_sharing(&self, names: &mut SharedNames) -> Option<EndpointRecord> {
         let valid_id = !self.instance_id.is_empty() && self.instance_id.len() <= MAX_NAME_BYTES;
         Some(EndpointRecord {
             addr: self.host_port.parse().ok().filter(|_| valid_id)?,
             dest: self.cell,
-            kind: position(&names.kinds, &self.machine_type) as u8,
-            zone: position(&names.zones, &self.zone) as u16,
+            kind: names.get(&self.machine_type),
+            zone: names.get(&self.zone),
             state: match self.lifecycle.as_str() {
                 "up" => EndpointState::Up,
                 "draining" => EndpointState::Draining,
@@ -134,13 +157,12 @@
     }
 
     /// Converts a record back to an entry.
-    pub fn from_record(record: &EndpointRecord, names: &KindAndZoneNames) -> Instance {
-        let name_at = |list: &[String], position: usize| list.get(position).cloned().unwrap_or_default();
+    pub fn from_record(record: &EndpointRecord) -> Instance {
         Instance {
             instance_id: record.name.clone(),
             host_port: record.addr.to_string(),
-            zone: name_at(&names.zones, usize::from(record.zone)),
-            machine_type: name_at(&names.kinds, usize::from(record.kind)),
+            zone: record.zone.to_string(),
+            machine_type: record.kind.to_string(),
             cell: record.dest,
             lifecycle: match record.state {
                 EndpointState::Up => "up",
--- a/src/register/static_file.rs
+++ b/src/register/static_file.rs
@@ -1,7 +1,7 @@
 //! The operators' static file: a list in discovery's format, read again whenever it changes. If it cannot be read, the
 //! last valid content stays in effect.
 
-use super::list::{KindAndZoneNames, ParsedList};
+use super::list::ParsedList;
 use super::{ListUpdate, Source};
 use crate::api::Micros;
 use std::fs;
@@ -14,7 +14,6 @@
 /// The file, and its state at the last read.
 pub struct StaticFile {
     path: PathBuf,
-    place_names: KindAndZoneNames,
     /// Modification time and length at the last read.
     last_seen: Option<(SystemTime, u64)>,
     missing: bool,
@@ -22,8 +21,8 @@
 
 impl StaticFile {
     /// Creates the reader of a file; nothing is read yet.
-    pub fn new(path: PathBuf, place_names: KindAndZoneNames) -> StaticFile {
-        StaticFile { path, place_names, last_seen: None, missing: false }
+    pub fn new(path: PathBuf) -> StaticFile {
+        StaticFile { path, last_seen: None, missing: false }
     }
 
     /// Reads the file if it has changed since the last read. A file that was deleted changes nothing; to remove its
@@ -50,10 +49,7 @@
         match parsed {
             Ok(parsed) => {
                 // The file is always a full list, whatever its `reset` field says.
-                let update = ListUpdate {
-                    is_full_list: true,
-                    ..parsed.into_update(Source::Static, &self.place_names, now)
-                };
+                let update = ListUpdate { is_full_list: true, ..parsed.into_update(Source::Static, now) };
                 if !update.unreadable.is_empty() {
                     let count = update.unreadable.len();
                     tracing::warn!(target: "register", "the static file {path}: {count} entries can't be read");
--- a/src/register/types.rs
+++ b/src/register/types.rs
@@ -2,9 +2,10 @@
 
 use super::guard::RemovalGuard;
 use super::trust::TrustRules;
-use crate::api::Micros;
+use crate::api::{KindId, Micros, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Lifecycle state of a listed endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +20,7 @@
 
 /// One endpoint as a source lists it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "HandedOverRecord", into = "HandedOverRecord")]
 pub struct EndpointRecord {
     /// Name, the same at every courier.
     pub name: String,
@@ -26,10 +28,10 @@
     pub addr: SocketAddr,
     /// Its destination.
     pub dest: u16,
-    /// Kind of destination, by position in the settings.
-    pub kind: u8,
-    /// Zone, by position in the settings.
-    pub zone: u16,
+    /// Name of its kind; empty if the source gives none.
+    pub kind: Arc<str>,
+    /// Name of its zone; empty if the source gives none.
+    pub zone: Arc<str>,
     /// Lifecycle state.
     pub state: EndpointState,
     /// Rate that its destination accepts, in calls per second.
@@ -38,6 +40,51 @@
     pub rank: u16,
 }
 
+/// A record in the handover between processes. Older versions name kinds and zones by their positions in the settings
+/// and know nothing of the names.
+#[derive(Clone, Serialize, Deserialize)]
+struct HandedOverRecord {
+    name: String,
+    addr: SocketAddr,
+    dest: u16,
+    kind: u8,
+    zone: u16,
+    state: EndpointState,
+    weight: f64,
+    rank: u16,
+    #[serde(default)]
+    kind_name: Arc<str>,
+    #[serde(default)]
+    zone_name: Arc<str>,
+}
+
+impl From<EndpointRecord> for HandedOverRecord {
+    /// To an older version the kind is one that the settings do not list, and each zone is a number of its own.
+    fn from(record: EndpointRecord) -> HandedOverRecord {
+        let EndpointRecord { name, addr, dest, kind, zone, state, weight, rank } = record;
+        HandedOverRecord {
+            name,
+            addr,
+            dest,
+            kind: KindId::UNLISTED.0,
+            zone: ZoneId::of_name(&zone).map_or(u16::MAX, |id| id.0 as u16),
+            state,
+            weight,
+            rank,
+            kind_name: kind,
+            zone_name: zone,
+        }
+    }
+}
+
+impl From<HandedOverRecord> for EndpointRecord {
+    /// The positions of an older version are not used: one position stands for every name that its settings lack.
+    fn from(record: HandedOverRecord) -> EndpointRecord {
+        let HandedOverRecord { name, addr, dest, state, weight, rank, kind_name, zone_name, .. } = record;
+        EndpointRecord { name, addr, dest, kind: kind_name, zone: zone_name, state, weight, rank }
+    }
+}
+
 /// A source of endpoint records. The order is the precedence: the first source that lists an endpoint decides.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Source {
--- a/src/sender_handover.rs
+++ b/src/sender_handover.rs
@@ -168,7 +168,7 @@
             endpoint: ENDPOINT,
             destination: DestinationId(3),
             kind: KindId(1),
-            zone: ZoneId(0),
+            zone: Some(ZoneId(0)),
             state: ListingState::Ready,
             weight: 50.0,
             rank: 0,
@@ -223,7 +223,10 @@
         let events = [
             Event::Resumed { message: message(1), attempts: 1, first_uncertain: None },
             Event::Resumed { message: message(2), attempts: 1, first_uncertain: None },
-            Event::CallInFlight { id: MessageId(2), endpoint: ENDPOINT, sent: now },
+            Event::CallInFlight {
+                id: MessageId(2),
+                attempt: SentAttempt { sent_at: now, endpoint: ENDPOINT, zone: None },
+            },
             endpoint_listed(),
         ];
         new.handle(now + Micros(2000), &events, &mut actions);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -209,6 +209,7 @@
         let kind_count =
             conf.kinds.len().max(conf.family_info.bundle_max.len()).max(conf.family_info.kind_apart.len());
         let kind = |i| Kind {
+            name: conf.kinds.get(i).cloned().unwrap_or_default(),
             separate_routes: conf.family_info.kind_apart.get(i).copied().unwrap_or(false),
             max_batch_size: conf.family_info.bundle_max.get(i).copied().unwrap_or(1),
         };
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -146,12 +146,15 @@
     }
 
     /// Whether the endpoint drops the message if an earlier attempt has run, as it belongs to the group that
-    /// remembers the message's key.
+    /// remembers the message's key. The group is the zone in which the earlier attempt was sent, also if its
+    /// endpoint has changed its zone since. If that zone is not known, only the same endpoint counts.
     pub(crate) fn deduplicates_repeat(&self, held: &HeldMessage, id: EndpointId, e: &Endpoint) -> bool {
-        let same_zone = |at| self.endpoints.get(&at).is_some_and(|a| a.zone == e.zone);
-        match (held.may_have_run, held.effect) {
-            (Some((_, at)), Effect::Keyed { group: DedupGroup::Endpoint, .. }) => at == id,
-            (Some((_, at)), Effect::Keyed { group: DedupGroup::Zone, .. }) => same_zone(at),
+        let Some(earlier) = held.may_have_run else { return true };
+        match (held.effect, earlier.zone) {
+            (Effect::Keyed { group: DedupGroup::Zone, .. }, Some(zone)) => e.zone == Some(zone),
+            (Effect::Keyed { group: DedupGroup::Zone | DedupGroup::Endpoint, .. }, _) => {
+                earlier.endpoint == id
+            }
             _ => true,
         }
     }
@@ -203,7 +206,8 @@
 
     /// Records a call that the previous process began: it holds a slot, and its endpoint, until its outcome
     /// comes.
-    pub(crate) fn restore_call(&mut self, id: MessageId, at: EndpointId, sent_at: Micros) {
+    pub(crate) fn restore_call(&mut self, id: MessageId, sent: SentAttempt) {
+        let SentAttempt { sent_at, endpoint: at, zone } = sent;
         let Some(held) = self.messages.get_mut(&id) else { return };
         self.send_queue.forget(held);
         let call = self.next_call_id;
@@ -216,7 +220,7 @@
         endpoint.calls.insert(call, Call { sent_at, pending_outcomes: 1, has_outcome: false });
         self.routes.entry(endpoint.route).or_default().calls_in_flight += 1;
         let number = held.attempts.saturating_sub(1) as u8;
-        held.in_flight = Some(Attempt { endpoint: at, call, sent_at, number });
+        held.in_flight = Some(Attempt { endpoint: at, zone, call, sent_at, number });
     }
 }
 
--- a/src/state/records.rs
+++ b/src/state/records.rs
@@ -4,7 +4,7 @@
 //! must stay, so that an older and a newer version can hand over to each other in both directions.
 
 use crate::api::*;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Health of an endpoint, as outlier ejection and slow start see it.
@@ -44,7 +44,9 @@
 #[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Endpoint {
     pub(crate) route: RouteId,
-    pub(crate) zone: ZoneId,
+    /// The zone that it is listed in. The handover leaves it out: the new process takes it from the list.
+    #[serde(serialize_with = "serialize_no_zone", deserialize_with = "ignore_zone")]
+    pub(crate) zone: Option<ZoneId>,
     pub(crate) kind: KindId,
     /// Endpoints of a higher rank are used only while none of a lower rank can be.
     pub(crate) rank: u16,
@@ -116,9 +118,20 @@
 /// where the kind of destination has separate routes.
 pub(crate) type RouteId = (DestinationId, Option<EndpointId>);
 
+/// An older version expects a number here, the zone's position in its own settings.
+fn serialize_no_zone<S: Serializer>(_: &Option<ZoneId>, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_u16(u16::MAX)
+}
+
+fn ignore_zone<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<ZoneId>, D::Error> {
+    serde::de::IgnoredAny::deserialize(deserializer).map(|_| None)
+}
+
 /// An attempt in flight for one message.
 pub(crate) struct Attempt {
     pub(crate) endpoint: EndpointId,
+    /// The zone that the endpoint was listed in when the attempt was sent.
+    pub(crate) zone: Option<ZoneId>,
     /// Number of the call that carries the message.
     pub(crate) call: u64,
     pub(crate) sent_at: Micros,
@@ -143,8 +156,8 @@
     /// No attempt is made before this time.
     pub(crate) ready_at: Micros,
     pub(crate) in_flight: Option<Attempt>,
-    /// The first attempt that may have taken effect: when and to which endpoint it was sent.
-    pub(crate) may_have_run: Option<(Micros, EndpointId)>,
+    /// The first attempt that may have taken effect.
+    pub(crate) may_have_run: Option<SentAttempt>,
     /// Already answered; kept only until the attempt in flight returns.
     pub(crate) ended: bool,
     /// The expiry under which [`SendQueue`](super::SendQueue) has the message.
@@ -248,6 +261,13 @@
     pub(crate) recent_demand: VecDeque<Micros>,
 }
 
+impl Attempt {
+    /// When and where it was sent.
+    pub(crate) fn sent(&self) -> SentAttempt {
+        SentAttempt { sent_at: self.sent_at, endpoint: self.endpoint, zone: self.zone }
+    }
+}
+
 impl RetryBudget {
     /// Takes this many thousandths of a token from the deposits, the oldest first.
     pub(crate) fn consume(&mut self, mut due: u64) {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -19,7 +19,7 @@
 mod segments;
 pub mod storage;
 
-use crate::api::Micros;
+use crate::api::{Micros, ZoneId};
 use appending::Tail;
 use ended_ids::{read_ids, IDS_FILE};
 use history_backlog::Backlog;
@@ -91,6 +91,24 @@
     }
 }
 
+/// An attempt that was started.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartedAttempt {
+    /// When it started.
+    pub at: Micros,
+    /// Name of its backend.
+    pub backend: String,
+    /// The zone that the backend was listed in; `None`: not known, or written by an older version.
+    pub zone: Option<ZoneId>,
+}
+
+impl StartedAttempt {
+    /// An attempt of which neither time nor backend is known, as its record is damaged.
+    fn unknown() -> StartedAttempt {
+        StartedAttempt { at: Micros(0), backend: String::new(), zone: None }
+    }
+}
+
 /// The journal's state of a message that has not ended.
 #[derive(Debug, Clone, PartialEq)]
 pub struct MessageState {
@@ -98,10 +116,10 @@
     pub req: Arc<Req>,
     /// Number of attempts started.
     pub attempts: u32,
-    /// The first attempt that may have taken effect: when it started and at which backend.
-    pub first_uncertain: Option<(Micros, String)>,
+    /// The first attempt that may have taken effect.
+    pub first_uncertain: Option<StartedAttempt>,
     /// The attempt in flight, in this process or in the one that handed over to it.
-    pub open_attempt: Option<(Micros, String)>,
+    pub open_attempt: Option<StartedAttempt>,
     /// The decided final outcome; only the notice to the client is pending.
     pub final_outcome: Option<FinalOutcome>,
     /// The last reply of a backend, for the notice of the message's end.
@@ -289,16 +307,17 @@
     }
 
     /// Records that an attempt is about to start. After an error it must not start, and the journal is unchanged.
-    pub fn start_attempt(&mut self, msg: u64, now: Micros, endpoint: &str) -> io::Result<()> {
-        self.start_attempts(now, &[(msg, endpoint)])
+    pub fn start_attempt(
+        &mut self, msg: u64, now: Micros, backend: &str, zone: Option<ZoneId>,
+    ) -> io::Result<()> {
+        self.start_attempts(&[(msg, StartedAttempt { at: now, backend: backend.to_owned(), zone })])
     }
 
     /// As [`Journal::start_attempt`], for attempts that share a call. They are recorded by one write: all may start,
     /// or none.
-    pub fn start_attempts(&mut self, now: Micros, attempts: &[(u64, &str)]) -> io::Result<()> {
+    pub fn start_attempts(&mut self, attempts: &[(u64, StartedAttempt)]) -> io::Result<()> {
         let pending = attempts.iter().filter(|(msg, _)| self.pending.contains_key(msg));
-        let bodies: Vec<Vec<u8>> =
-            pending.map(|(msg, endpoint)| attempt_start_body(*msg, now, endpoint)).collect();
+        let bodies: Vec<Vec<u8>> = pending.map(|(msg, attempt)| attempt_start_body(*msg, attempt)).collect();
         let mut records = Vec::new();
         bodies.iter().for_each(|body| put_record(&mut records, body));
         if !records.is_empty() {
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -1,7 +1,7 @@
 //! Record bodies: their encoding, and how a record changes the state of the pending messages.
 
-use super::{EndKind, FinalOutcome, MessageState, Req};
-use crate::api::Micros;
+use super::{EndKind, FinalOutcome, MessageState, Req, StartedAttempt};
+use crate::api::{Micros, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -40,19 +40,29 @@
     put_bytes(body, text.as_bytes());
 }
 
-fn put_attempt(body: &mut Vec<u8>, attempt: &Option<(Micros, String)>) {
+fn put_attempt(body: &mut Vec<u8>, attempt: &Option<StartedAttempt>) {
     body.push(u8::from(attempt.is_some()));
-    if let Some((at, backend)) = attempt {
-        body.extend(at.0.to_le_bytes());
-        put_text(body, backend);
+    if let Some(attempt) = attempt {
+        body.extend(attempt.at.0.to_le_bytes());
+        put_text(body, &attempt.backend);
     }
 }
 
-/// The record of an attempt that starts at this endpoint.
-pub(super) fn attempt_start_body(msg: u64, now: Micros, endpoint: &str) -> Vec<u8> {
+/// Zones are at the end of their records, where older versions read nothing.
+fn put_zone(body: &mut Vec<u8>, attempt: Option<&StartedAttempt>) {
+    let zone = attempt.and_then(|attempt| attempt.zone);
+    body.push(u8::from(zone.is_some()));
+    if let Some(zone) = zone {
+        body.extend(zone.0.to_le_bytes());
+    }
+}
+
+/// The record of an attempt that starts.
+pub(super) fn attempt_start_body(msg: u64, attempt: &StartedAttempt) -> Vec<u8> {
     let mut body = record_body(ATTEMPT_START, msg);
-    body.extend(now.0.to_le_bytes());
-    put_text(&mut body, endpoint);
+    body.extend(attempt.at.0.to_le_bytes());
+    put_text(&mut body, &attempt.backend);
+    put_zone(&mut body, Some(attempt));
     body
 }
 
@@ -83,6 +93,8 @@
     put_attempt(&mut out, &state.open_attempt);
     put_final_outcome(&mut out, state.final_outcome);
     put_text(&mut out, &state.last_reply);
+    put_zone(&mut out, state.first_uncertain.as_ref());
+    put_zone(&mut out, state.open_attempt.as_ref());
     out
 }
 
@@ -131,11 +143,21 @@
     fn text(&mut self) -> Option<String> {
         String::from_utf8(self.bytes()?).ok()
     }
-    fn attempt(&mut self) -> Option<Option<(Micros, String)>> {
-        Some(match self.u8()? {
+    fn started_attempt(&mut self) -> Option<StartedAttempt> {
+        Some(StartedAttempt { at: Micros(self.u64()?), backend: self.text()?, zone: None })
+    }
+    fn attempt(&mut self) -> Option<Option<StartedAttempt>> {
+        match self.u8()? {
+            0 => Some(None),
+            _ => self.started_attempt().map(Some),
+        }
+    }
+    /// The zone at the end of a record; `None` if it is not known, or the record ends before it.
+    fn zone(&mut self) -> Option<ZoneId> {
+        match self.u8()? {
             0 => None,
-            _ => Some((Micros(self.u64()?), self.text()?)),
-        })
+            _ => self.u64().map(ZoneId),
+        }
     }
     fn final_outcome(&mut self) -> Option<Option<FinalOutcome>> {
         let (kind, wait) = (self.u8()?, Micros(self.u64()?));
@@ -170,14 +192,19 @@
             body: self.bytes()?.into(),
             keep_id_until: Micros(self.u64()?),
         };
-        Some(MessageState {
+        let mut state = MessageState {
             req: Arc::new(req),
             attempts: self.u32()?,
             first_uncertain: self.attempt()?,
             open_attempt: self.attempt()?,
             final_outcome: self.final_outcome()?,
             last_reply: self.text()?,
-        })
+        };
+        for attempt in [&mut state.first_uncertain, &mut state.open_attempt] {
+            let zone = self.zone();
+            attempt.iter_mut().for_each(|attempt| attempt.zone = zone);
+        }
+        Some(state)
     }
 }
 
@@ -204,7 +231,8 @@
         ATTEMPT_START => {
             state.attempts += 1;
             state.open_attempt_is_lost();
-            state.open_attempt = Some((Micros(fields.u64()?), fields.text()?));
+            let zone_follows = fields.started_attempt()?;
+            state.open_attempt = Some(StartedAttempt { zone: fields.zone(), ..zone_follows });
         }
         OUTCOME => {
             let (open, may_have_run) = (state.open_attempt.take(), fields.u8()? != 0);
--- a/src/store/recovery.rs
+++ b/src/store/recovery.rs
@@ -5,8 +5,7 @@
 use super::records::{apply, Fields, ACCEPT, ATTEMPT_START, END, SEGMENT_START};
 use super::salvage::{record_at, split_segment, SegmentPart, RECORD_HEADER_BYTES};
 use super::segments::{Segment, BLOCK_BYTES};
-use super::{Damage, EndedMessage, MessageState, StartMode, Storage};
-use crate::api::Micros;
+use super::{Damage, EndedMessage, MessageState, StartMode, StartedAttempt, Storage};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 
@@ -128,7 +127,7 @@
                         Fields(bytes.get(torn.start + RECORD_HEADER_BYTES..).unwrap_or_default());
                     if let (Some(ATTEMPT_START), Some(msg)) = (fields.u8(), fields.u64()) {
                         let state = self.pending.get_mut(&msg);
-                        state.into_iter().for_each(|s| s.first_uncertain = Some((Micros(0), String::new())));
+                        state.into_iter().for_each(|s| s.first_uncertain = Some(StartedAttempt::unknown()));
                     }
                     continue;
                 }
@@ -195,7 +194,7 @@
     for (msg, state) in pending.iter_mut().filter(|(_, s)| s.final_outcome.is_none()) {
         if accepted_at.get(msg).is_none_or(|at| *at < last) {
             // Time and backend are unknown: with these values every repeat window has passed and no endpoint matches.
-            state.first_uncertain = Some((Micros(0), String::new()));
+            state.first_uncertain = Some(StartedAttempt::unknown());
             marked += 1;
         }
     }
--- a/tests/clock.rs
+++ b/tests/clock.rs
@@ -139,8 +139,8 @@
             (4, req("past-window", now + Micros(15 * S))),
         ];
         assert_eq!(journal.accept(&accepted).unwrap(), 4);
-        journal.start_attempt(3, now - Micros(S / 2), "s-0").unwrap();
-        journal.start_attempt(4, now - window - Micros(S), "s-0").unwrap();
+        journal.start_attempt(3, now - Micros(S / 2), "s-0", None).unwrap();
+        journal.start_attempt(4, now - window - Micros(S), "s-0", None).unwrap();
         drop(journal);
         let (_program, _) = site.start();
         until("the deliveries", || site.delivered().len() >= 2);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -30,7 +30,7 @@
     Settings {
         senders: 1,
         classes: vec![class(Effect::Safe), class(keyed()), class(Effect::Unsafe)],
-        kinds: vec![Kind { separate_routes: false, max_batch_size: 1 }],
+        kinds: vec![Kind { name: String::new(), separate_routes: false, max_batch_size: 1 }],
         tenants: vec![],
         over_share_worth: None,
         worth_decay: WorthDecay::Linear,
@@ -60,12 +60,17 @@
     }
 }
 
+/// An attempt that was sent to an endpoint of [`entry`].
+pub fn sent_attempt(at: u64, n: u8) -> SentAttempt {
+    SentAttempt { sent_at: Micros(at), endpoint: endpoint(n), zone: entry(n, 0).zone }
+}
+
 pub fn entry(n: u8, destination: u16) -> Entry {
     Entry {
         endpoint: endpoint(n),
         destination: DestinationId(destination),
         kind: KindId(0),
-        zone: ZoneId(0),
+        zone: Some(ZoneId(0)),
         state: ListingState::Ready,
         weight: 1.0,
         rank: 0,
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -23,7 +23,16 @@
 
 fn endpoint(name: &str, dest: u16, state: EndpointState) -> EndpointRecord {
     let addr: SocketAddr = "127.0.0.1:9".parse().unwrap();
-    EndpointRecord { name: name.into(), addr, dest, kind: 0, zone: 0, state, weight: 1.0, rank: 0 }
+    EndpointRecord {
+        name: name.into(),
+        addr,
+        dest,
+        kind: "".into(),
+        zone: "".into(),
+        state,
+        weight: 1.0,
+        rank: 0,
+    }
 }
 
 fn report_list(courier: &Courier, front: u8, backends: Vec<EndpointRecord>) {
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -67,20 +67,6 @@
     assert!(all.contains(&Action::Fail(MessageId(1))), "it may have run, so it is failed and not declined");
 }
 
-#[test]
-fn repeats_of_a_zone_keyed_message_stay_in_the_zone() {
-    let mut set = settings();
-    set.classes[1].effect = Effect::Keyed { group: DedupGroup::Zone, window: Micros(12 * S) };
-    let far = |n| Entry { zone: ZoneId(1), ..entry(n, 7) };
-    let mut harness = SenderHarness::new(set, vec![entry(1, 7), far(2), far(3)]);
-    harness.demand(1, 7, 1);
-    let first = harness.in_flight[0].endpoint;
-    harness.returns(1, Outcome::Error);
-    harness.wait(3 * S);
-    assert_eq!(harness.in_flight.len(), 1);
-    assert_eq!(harness.in_flight[0].endpoint == endpoint(1), first == endpoint(1));
-}
-
 #[test]
 fn drained_and_gone_endpoints_get_nothing_new() {
     for state in [ListingState::Draining, ListingState::Gone] {
--- a/tests/held_up.rs
+++ b/tests/held_up.rs
@@ -30,7 +30,7 @@
         harness.feed(vec![Event::Resumed {
             message,
             attempts: 1,
-            first_uncertain: Some((Micros(first_sent), common::endpoint(1))),
+            first_uncertain: Some(common::sent_attempt(first_sent, 1)),
         }]);
         let may_begin = |at: u64| harness.sender.may_begin(Micros(at), MessageId(9), common::endpoint(1));
         let last_begin_ms = (0..window_ms).rev().find(|ms| may_begin(first_sent + ms * 1_000));
--- a/tests/history_ends.rs
+++ b/tests/history_ends.rs
@@ -145,7 +145,8 @@
     let courier = Arc::new(Courier::new(settings, 1, clock, journal, options));
     let addr: SocketAddr = "127.0.0.1:9".parse().unwrap();
     let (name, state) = ("a".to_owned(), EndpointState::Up);
-    let line = EndpointRecord { name, addr, dest: 7, kind: 0, zone: 0, state, weight: 1.0, rank: 0 };
+    let line =
+        EndpointRecord { name, addr, dest: 7, kind: "".into(), zone: "".into(), state, weight: 1.0, rank: 0 };
     let word = ListUpdate::full(Source::Discovery, 0, vec![line], clock.now());
     courier.report(Report::List { front: 0, update: word });
     let over = |courier: &Courier, fetch: Fetch, end| {
--- a/tests/journal_faults.rs
+++ b/tests/journal_faults.rs
@@ -6,8 +6,8 @@
 mod faulty_storage;
 
 use faulty_storage::{FaultyStorage, Script, IO_ERROR, NO_SPACE};
-use indigohold::store::{FinalOutcome, Journal, MessageState, Req};
-use indigohold::Micros;
+use indigohold::store::{FinalOutcome, Journal, MessageState, Req, StartedAttempt};
+use indigohold::{Micros, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -15,6 +15,11 @@
 /// Limit on the writes of [`write_all_kinds`] if none of them fails.
 const MAX_WRITES: usize = 24;
 
+/// An attempt in the zone that these tests use.
+fn attempt(at: u64, backend: &str) -> StartedAttempt {
+    StartedAttempt { at: Micros(at), backend: backend.to_owned(), zone: ZoneId::of_name("far") }
+}
+
 fn req(msg: u64) -> Arc<Req> {
     Arc::new(Req {
         id: format!("m{msg}"),
@@ -53,9 +58,9 @@
     }
 
     fn start_attempts(&mut self, journal: &mut Journal, msgs: &[u64]) {
-        let attempts: Vec<(u64, &str)> =
-            msgs.iter().filter(|msg| self.accepted.contains(msg)).map(|msg| (*msg, "s-1")).collect();
-        if journal.start_attempts(Micros(200), &attempts).is_ok() {
+        let accepted = msgs.iter().filter(|msg| self.accepted.contains(msg));
+        let attempts: Vec<(u64, StartedAttempt)> = accepted.map(|msg| (*msg, attempt(200, "s-1"))).collect();
+        if journal.start_attempts(&attempts).is_ok() {
             self.started.extend(attempts.iter().map(|(msg, _)| msg));
         }
     }
@@ -199,7 +204,7 @@
             journal.accept(&[(50, req(50))]).is_err(),
             "a message that can't be recorded is not accepted"
         );
-        assert!(journal.start_attempt(4, Micros(500), "s-1").is_err(), "no attempt starts");
+        assert!(journal.start_attempt(4, Micros(500), "s-1", None).is_err(), "no attempt starts");
         storage.recover();
         assert_eq!(journal.accept(&[(60, req(60))]).unwrap(), 1);
         journal.end(60, Micros(600));
@@ -218,7 +223,7 @@
     let before = journal.pending().clone();
     storage.fail(Script { partial_bytes: 9, ..Script::default() });
     for _ in 0..3 {
-        journal.start_attempts(Micros(200), &[(1, "s-1"), (2, "s-1")]).unwrap_err();
+        journal.start_attempts(&[(1, attempt(200, "s-1")), (2, attempt(200, "s-1"))]).unwrap_err();
     }
     assert_same(
         &before,
@@ -226,10 +231,10 @@
         "no attempt is counted, and none counts as one that may have run",
     );
     storage.recover();
-    journal.start_attempts(Micros(300), &[(1, "s-1"), (2, "s-1")]).unwrap();
+    journal.start_attempts(&[(1, attempt(300, "s-1")), (2, attempt(300, "s-1"))]).unwrap();
     drop(journal);
     let pending = open(&storage).pending().clone();
-    let started = Some((Micros(300), "s-1".to_owned()));
+    let started = Some(attempt(300, "s-1"));
     assert!(pending
         .values()
         .all(|s| s.attempts == 1 && s.first_uncertain == started && s.open_attempt.is_none()));
--- a/tests/journal_start_mode.rs
+++ b/tests/journal_start_mode.rs
@@ -1,8 +1,8 @@
 //! How a journal treats a call without an outcome when the next process opens it. After a restart the call may have
 //! run; after a handover the old process may still report the outcome.
 
-use indigohold::store::{Journal, Req, StartMode};
-use indigohold::Micros;
+use indigohold::store::{Journal, Req, StartMode, StartedAttempt};
+use indigohold::{Micros, ZoneId};
 use std::path::Path;
 use std::sync::Arc;
 use tempfile::tempdir;
@@ -33,12 +33,12 @@
 fn leave_call_in_flight(dir: &Path) {
     let mut journal = open(dir, StartMode::Restart);
     journal.accept(&[(1, req("m1", 10))]).unwrap();
-    journal.start_attempt(1, CALLED_AT, "s-1").unwrap();
+    journal.start_attempt(1, CALLED_AT, "s-1", ZoneId::of_name("far")).unwrap();
 }
 
 /// The call that [`leave_call_in_flight`] leaves.
-fn call_in_flight() -> Option<(Micros, String)> {
-    Some((CALLED_AT, "s-1".into()))
+fn call_in_flight() -> Option<StartedAttempt> {
+    Some(StartedAttempt { at: CALLED_AT, backend: "s-1".to_owned(), zone: ZoneId::of_name("far") })
 }
 
 /// Writes enough messages that the oldest segments are rewritten.
--- a/tests/kept.rs
+++ b/tests/kept.rs
@@ -1,23 +1,19 @@
 //! The kept copy under damage: every prefix, every flipped bit, a kill at every step of its replacement, a full disk.
 
 use indigohold::register::kept_copy::{self, KeptCopyRules, KeptCopyWriter, KeptList, ListSnapshot};
-use indigohold::register::list::{DiscoveryList, Instance, KindAndZoneNames, ParsedList};
+use indigohold::register::list::{DiscoveryList, Instance, ParsedList};
 use indigohold::register::{EndpointRecord, EndpointState};
 use indigohold::Micros;
 use std::fs;
 use tempfile::tempdir;
 
-fn place_names() -> KindAndZoneNames {
-    KindAndZoneNames { kinds: vec!["print-house".into(), "community".into()], zones: vec!["z".into()] }
-}
-
 fn record(n: u16) -> EndpointRecord {
     EndpointRecord {
         name: format!("s-{n}"),
         addr: ([127, 0, 0, 1], 1000 + n).into(),
         dest: n,
-        kind: 1,
-        zone: 0,
+        kind: "community".into(),
+        zone: "unlisted-zone".into(),
         state: if n == 1 { EndpointState::Draining } else { EndpointState::Up },
         weight: 2.5,
         rank: 0,
@@ -25,20 +21,34 @@
 }
 
 fn kept_list(generation: u64) -> KeptList {
-    let instances = (0..3).map(|n| Instance::from_record(&record(n), &place_names())).collect();
+    let instances = (0..3).map(|n| Instance::from_record(&record(n))).collect();
     KeptList { confirmed_ms: 1_700_000_000_123, list: DiscoveryList { generation, reset: true, instances } }
 }
 
+/// Guards against zones that lose their names in a copy or a hand-over: those that the settings did not list had none.
 #[test]
 fn a_copy_decodes_to_the_list_that_was_encoded() {
     let bytes = kept_copy::encode(&kept_list(5));
     let decoded = kept_copy::decode(&bytes).unwrap();
     assert_eq!(decoded, kept_list(5));
-    let records: Vec<EndpointRecord> =
-        decoded.list.instances.iter().filter_map(|i| i.to_record(&place_names())).collect();
+    let records: Vec<EndpointRecord> = decoded.list.instances.iter().filter_map(|i| i.to_record()).collect();
     assert_eq!(records, [record(0), record(1), record(2)]);
 }
 
+#[test]
+fn a_handed_over_record_keeps_its_names_and_a_position_alone_is_none() {
+    let json = serde_json::to_value(record(0)).unwrap();
+    assert_eq!(serde_json::from_value::<EndpointRecord>(json.clone()).unwrap(), record(0));
+    // As a version wrote it that knew positions only.
+    let mut old = json;
+    for name in ["kind_name", "zone_name"] {
+        assert!(old.as_object_mut().unwrap().remove(name).is_some());
+    }
+    (old["kind"], old["zone"]) = (0.into(), 0.into());
+    let read: EndpointRecord = serde_json::from_value(old).unwrap();
+    assert_eq!(read, EndpointRecord { kind: "".into(), zone: "".into(), ..record(0) });
+}
+
 /// Guards against a partly written copy that is taken for a shorter list.
 #[test]
 fn no_prefix_and_no_flipped_bit_is_accepted() {
@@ -117,7 +127,7 @@
     let folder = tempdir().unwrap();
     let dir = folder.path().to_owned();
     let rules = KeptCopyRules { min_interval: Micros(0), ..KeptCopyRules::default() };
-    let mut writer = KeptCopyWriter::new(&dir, rules, place_names());
+    let mut writer = KeptCopyWriter::new(&dir, rules);
     let at = |n: u64| Micros(n * 1_000_000);
     assert_eq!(writer.write(at(1), &snapshot(1, 3), 1 << 20), None);
     let log_line = writer.write(at(2), &snapshot(2, 3), 1000).expect("a line for the log");
@@ -140,7 +150,7 @@
     let folder = tempdir().unwrap();
     let dir = folder.path().to_owned();
     let rules = KeptCopyRules { disk_bytes: 12 * 1024, ..KeptCopyRules::default() };
-    let mut writer = KeptCopyWriter::new(&dir, rules, place_names());
+    let mut writer = KeptCopyWriter::new(&dir, rules);
     assert!(writer.write(Micros(0), &snapshot(1, 100), 1 << 30).unwrap().contains("100 backends"));
     assert_eq!(kept_copy::read(&dir), (None, Vec::new()));
 }
@@ -159,8 +169,7 @@
         }
         bytes.truncate(bytes.len() - (seed >> 56) as usize % 32);
         if let Ok(parsed) = ParsedList::parse(&bytes) {
-            let place_names = place_names();
-            let update = parsed.into_update(indigohold::register::Source::Discovery, &place_names, Micros(0));
+            let update = parsed.into_update(indigohold::register::Source::Discovery, Micros(0));
             assert!(update.records.len() + update.unreadable.len() <= 6);
         }
     }
--- a/tests/measure_history.rs
+++ b/tests/measure_history.rs
@@ -77,7 +77,8 @@
     });
     let addr: SocketAddr = "127.0.0.1:9".parse().unwrap();
     let (name, state) = ("a".to_owned(), EndpointState::Up);
-    let line = EndpointRecord { name, addr, dest: 7, kind: 0, zone: 0, state, weight: 1e6, rank: 0 };
+    let line =
+        EndpointRecord { name, addr, dest: 7, kind: "".into(), zone: "".into(), state, weight: 1e6, rank: 0 };
     courier.report(Report::List {
         front: 0,
         update: ListUpdate::full(Source::Discovery, 0, vec![line], clock.now()),
--- a/tests/probes.rs
+++ b/tests/probes.rs
@@ -130,7 +130,11 @@
         due,
     };
     let sent = Micros(harness.now);
-    harness.feed(vec![Event::Resumed { message, attempts: 1, first_uncertain: Some((sent, endpoint(1))) }]);
+    harness.feed(vec![Event::Resumed {
+        message,
+        attempts: 1,
+        first_uncertain: Some(sent_attempt(sent.0, 1)),
+    }]);
     let window = 12 * S;
     let may_begin = |now: u64| harness.sender.may_begin(Micros(now), MessageId(1), endpoint(1));
     assert!(may_begin(sent.0 + window - 300_000), "the margin is a fiftieth of twelve seconds, 240 ms");
--- a/tests/register.rs
+++ b/tests/register.rs
@@ -20,7 +20,16 @@
 
 fn record(name: &str, port: u16, state: EndpointState) -> EndpointRecord {
     let addr = ([127, 0, 0, 1], port).into();
-    EndpointRecord { name: name.into(), addr, dest: 7, kind: 0, zone: 0, state, weight: 1.0, rank: 0 }
+    EndpointRecord {
+        name: name.into(),
+        addr,
+        dest: 7,
+        kind: "".into(),
+        zone: "".into(),
+        state,
+        weight: 1.0,
+        rank: 0,
+    }
 }
 
 fn up_records(names: &[&str]) -> Vec<EndpointRecord> {
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -9,7 +9,7 @@
     harness: &SenderHarness, id: u64, class: u16, attempts: u32, may_have_run: Option<(u64, u8)>, due: u64,
 ) -> Event {
     let Event::Demand(message) = harness.message(id, 7, class, None) else { unreachable!() };
-    let first_uncertain = may_have_run.map(|(at, n)| (Micros(at), endpoint(n)));
+    let first_uncertain = may_have_run.map(|(at, n)| sent_attempt(at, n));
     Event::Resumed { message: Message { due: Micros(due), ..message }, attempts, first_uncertain }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -57,7 +57,8 @@
     let keyed_window = 12 * S;
     let slack = 20_000;
     let zone = |e: EndpointId| e.addr[3] % 2;
-    let list_entry = |n: u8| Entry { zone: ZoneId(u16::from(n % 2)), ..entry(n, u16::from(n.div_ceil(2))) };
+    let list_entry =
+        |n: u8| Entry { zone: Some(ZoneId(u64::from(n % 2))), ..entry(n, u16::from(n.div_ceil(2))) };
     let mut sender = Sender::new(set.clone(), 11);
     let mut now = 3 * S;
     let mut seen: BTreeMap<u64, TrackedMessage> = BTreeMap::new();
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -347,7 +347,7 @@
 fn failed_connects_shorten_the_trust_in_idle_connections_of_the_kind() {
     let mut set = one_of_many();
     set.weights = Weights::Off;
-    set.kinds.push(set.kinds[0]);
+    set.kinds.push(set.kinds[0].clone());
     let other = Entry { kind: KindId(1), ..entry(60, 60) };
     let mut b = SenderHarness::new(set, (1..40u8).map(|n| entry(n, u16::from(n))).chain([other]).collect());
     let lets_go_at = |b: &mut SenderHarness, destination: u16, from: u64| {
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -1,7 +1,7 @@
 //! The journal: what it restores after a kill at any moment or with damaged files, and its limit on disk space.
 
-use indigohold::store::{FinalOutcome, Journal, Req};
-use indigohold::Micros;
+use indigohold::store::{FinalOutcome, Journal, Req, StartedAttempt};
+use indigohold::{Micros, ZoneId};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -14,6 +14,11 @@
     path
 }
 
+/// An attempt in the zone that these tests use.
+fn attempt(at: u64, backend: &str) -> StartedAttempt {
+    StartedAttempt { at: Micros(at), backend: backend.to_owned(), zone: ZoneId::of_name("far") }
+}
+
 fn open(dir: &Path) -> Journal {
     Journal::open(dir, BUDGET_BYTES, Micros(100)).unwrap()
 }
@@ -44,12 +49,12 @@
     for msg in 1..=4 {
         assert_eq!(journal.accept(&[(msg, req(&format!("m{msg}"), 10))]).unwrap(), 1);
     }
-    journal.start_attempt(1, Micros(200), "s-1").unwrap();
+    journal.start_attempt(1, Micros(200), "s-1", ZoneId::of_name("far")).unwrap();
     journal.record_outcome(1, false, "busy");
-    journal.start_attempt(1, Micros(300), "s-2").unwrap();
-    journal.start_attempt(2, Micros(400), "s-1").unwrap();
+    journal.start_attempt(1, Micros(300), "s-2", ZoneId::of_name("far")).unwrap();
+    journal.start_attempt(2, Micros(400), "s-1", ZoneId::of_name("far")).unwrap();
     journal.record_outcome(2, true, "");
-    journal.start_attempt(2, Micros(500), "s-2").unwrap();
+    journal.start_attempt(2, Micros(500), "s-2", None).unwrap();
     journal.record_final_outcome(3, FinalOutcome::HandedBack(Micros(77)));
     journal.end(4, Micros(600));
     drop(journal);
@@ -61,12 +66,12 @@
     assert_eq!(pending[&1].open_attempt, None, "the result of an earlier process's call is lost");
     assert_eq!(
         pending[&1].first_uncertain,
-        Some((Micros(300), "s-2".into())),
+        Some(attempt(300, "s-2")),
         "the lost call may have run; the refused one before it did not"
     );
     assert_eq!(
         pending[&2].first_uncertain,
-        Some((Micros(400), "s-1".into())),
+        Some(attempt(400, "s-1")),
         "the first call that may have run counts"
     );
     assert_eq!(pending[&3].final_outcome, Some(FinalOutcome::HandedBack(Micros(77))));
@@ -82,11 +87,11 @@
         let dir = folder(&format!("lost-call-{rewritten}"));
         let mut journal = open(&dir);
         journal.accept(&[(1, req("m1", 10))]).unwrap();
-        journal.start_attempt(1, Micros(200), "s-1").unwrap();
+        journal.start_attempt(1, Micros(200), "s-1", ZoneId::of_name("far")).unwrap();
         drop(journal);
         for run in 0..3u64 {
             let mut journal = open(&dir);
-            journal.start_attempt(1, Micros(300 + run), "s-2").unwrap();
+            journal.start_attempt(1, Micros(300 + run), "s-2", ZoneId::of_name("far")).unwrap();
             journal.record_outcome(1, false, "busy");
             // Enough records that the message is copied to a new segment.
             for n in 0..if rewritten { 400 } else { 0 } {
@@ -98,7 +103,7 @@
         let journal = open(&dir);
         let state = &journal.pending()[&1];
         assert_eq!((state.attempts, state.open_attempt.clone()), (4, None));
-        assert_eq!(state.first_uncertain, Some((Micros(200), "s-1".into())), "the first call may have run");
+        assert_eq!(state.first_uncertain, Some(attempt(200, "s-1")), "the first call may have run");
     }
 }
 
@@ -147,7 +152,7 @@
     assert_eq!(journal.accept(&[(1, req("stays", 2000))]).unwrap(), 1);
     for msg in 2..3000 {
         assert_eq!(journal.accept(&[(msg, req(&format!("m{msg}"), 3000))]).unwrap(), 1, "message {msg}");
-        journal.start_attempt(msg, Micros(msg), "s-1").unwrap();
+        journal.start_attempt(msg, Micros(msg), "s-1", None).unwrap();
         journal.end(msg, Micros(msg));
         assert!(disk_bytes(&dir) <= BUDGET_BYTES, "{} bytes after {msg}", disk_bytes(&dir));
     }
@@ -161,7 +166,7 @@
     let held: Vec<u64> = journal.pending().keys().copied().collect();
     for msg in &held {
         for n in 0..8 {
-            journal.start_attempt(*msg, Micros(n), "a-name-of-usual-length").unwrap();
+            journal.start_attempt(*msg, Micros(n), "a-name-of-usual-length", None).unwrap();
             journal.record_outcome(*msg, true, "");
         }
         assert!(disk_bytes(&dir) <= BUDGET_BYTES);
@@ -184,8 +189,8 @@
     for (msg, id) in [(1, "ran"), (2, "never"), (3, "refused")] {
         journal.accept(&[(msg, req(id, 10))]).unwrap();
     }
-    journal.start_attempt(1, Micros(200), "s").unwrap();
-    journal.start_attempt(3, Micros(200), "s").unwrap();
+    journal.start_attempt(1, Micros(200), "s", None).unwrap();
+    journal.start_attempt(3, Micros(200), "s", None).unwrap();
     journal.record_outcome(3, false, "550 no");
     (1..=3).for_each(|msg| journal.end(msg, Micros(300)));
     let knows =
@@ -206,7 +211,7 @@
     let steps = |journal: &mut Journal, batched: bool| {
         for msg in 1..400u64 {
             assert_eq!(journal.accept(&[(msg, req(&format!("m{msg}"), 900))]).unwrap(), 1);
-            journal.start_attempt(msg, Micros(200 + msg), "s-1").unwrap();
+            journal.start_attempt(msg, Micros(200 + msg), "s-1", None).unwrap();
             if batched {
                 journal.begin_batch();
             }
@@ -251,19 +256,19 @@
     for msg in 1..=4 {
         assert_eq!(journal.accept(&[(msg, req(&format!("m{msg}"), 30))]).unwrap(), 1);
     }
-    journal.start_attempt(3, Micros(200), "s-3").unwrap();
+    journal.start_attempt(3, Micros(200), "s-3", None).unwrap();
     journal.end(3, Micros(210));
-    journal.start_attempt(4, Micros(220), "s-4").unwrap();
+    journal.start_attempt(4, Micros(220), "s-4", None).unwrap();
     journal.record_outcome(4, false, "busy");
     drop(journal);
     let mut journal = Journal::open(&dir, BUDGET_BYTES, Micros(300)).unwrap();
     for msg in 5..=6 {
         assert_eq!(journal.accept(&[(msg, req(&format!("m{msg}"), 30))]).unwrap(), 1);
     }
-    journal.start_attempt(5, Micros(400), "s-5").unwrap();
+    journal.start_attempt(5, Micros(400), "s-5", None).unwrap();
     journal.record_outcome(5, true, "");
     journal.record_final_outcome(6, FinalOutcome::GivenUp);
-    journal.start_attempt(1, Micros(500), "s-1").unwrap();
+    journal.start_attempt(1, Micros(500), "s-1", None).unwrap();
     dir
 }
 
