An ended mail order's id is kept until it expires; where it can't be, orders are refused

Nothing was refused or logged. Ruled out: the hash of the message (handed in at once it is recognised), a restart, the clock. Change: an id is 14 bytes in an append-only file for each six hours of expiry, within a quarter of the room (the eighth was counted twice, for its rewriting). What may safely run twice is dropped first; the rest never early. A pending order has the room for its id and its bounce's from its acceptance on; without it SMTP and LMTP answer 452 4.3.1 before anything is taken on, with a log line and `ended_ids` in the figures.

--- a/lab/src/virtual_time/mod.rs
+++ b/lab/src/virtual_time/mod.rs
@@ -341,7 +341,7 @@
                 self.messages[msg as usize].holder = Some(n);
                 self.put(Fact::Taken { msg, at: n });
             }
-            Some(Answer::Refused(wait) | Answer::Draining { wait, .. }) => {
+            Some(Answer::Refused(wait) | Answer::NoRoomForId(wait) | Answer::Draining { wait, .. }) => {
                 self.put(Fact::Refused { msg, at: n, wait: Some(wait) });
                 self.come_again(msg, Some(wait));
             }
--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -17,7 +17,8 @@
 //! A message whose end is decided but not reported yet still counts as `pending`.
 
 use crate::core::attempt_log::AttemptCounts;
-use serde_json::{Map, Value};
+use crate::store::EndedIdFigures;
+use serde_json::{json, Map, Value};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 
@@ -49,6 +50,10 @@
     pub ready: bool,
     /// Attempts by how they ended.
     pub attempts: AttemptCounts,
+    /// Ids of ended messages that are recognised.
+    pub ended_ids: EndedIdFigures,
+    /// Messages that were refused because their ids could not be remembered.
+    pub refused_for_ids: u64,
 }
 
 impl Metrics {
@@ -68,6 +73,11 @@
         self.ended[ended as usize].get(usize::from(class)).copied().unwrap_or(0)
     }
 
+    fn ended_ids_json(&self) -> Value {
+        let EndedIdFigures { kept, capacity, dropped } = self.ended_ids;
+        json!({"kept": kept, "capacity": capacity, "dropped": dropped, "refused": self.refused_for_ids})
+    }
+
     /// The metrics as the admin server reports them. `written` is the number of messages written in full to endpoints, and
     /// `shared` the shared health of the fleet.
     pub fn json(&self, classes: &[String], written: u64, shared: Option<Value>) -> String {
@@ -90,6 +100,7 @@
             ("members", self.members.into()),
             ("members_unavailable", self.unavailable.into()),
             ("attempts", self.attempts.json()),
+            ("ended_ids", self.ended_ids_json()),
         ];
         let all = all.into_iter().chain(shared.map(|shared| ("shared", shared)));
         Value::Object(all.map(|(name, value)| (name.to_owned(), value)).collect()).to_string()
--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -1,6 +1,7 @@
 //! The settings that a sender is created with.
 
 use super::ids::Micros;
+use std::collections::BTreeSet;
 
 /// The effect of delivering a message of a class more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -139,6 +140,14 @@
     pub max_retry_after: Option<Micros>,
 }
 
+impl Settings {
+    /// The positions of the classes whose messages may safely run twice.
+    pub fn repeatable_classes(&self) -> BTreeSet<u16> {
+        let positions = (0..).zip(&self.classes);
+        positions.filter(|(_, class)| class.effect == Effect::Safe).map(|(position, _)| position).collect()
+    }
+}
+
 /// All settings that a sender is created with.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -32,7 +32,7 @@
                 Some(answer) => {
                     tracing::debug!(target: "attempts", id = %req.id, ?answer, "answered without a decision");
                     match answer {
-                        Answer::Refused(_) | Answer::Draining { .. } => {
+                        Answer::Refused(_) | Answer::NoRoomForId(_) | Answer::Draining { .. } => {
                             self.figures.count(Ended::Rejected, req.class);
                         }
                         Answer::NoSuchDest => self.figures.count(Ended::Failed, req.class),
@@ -65,7 +65,7 @@
             held.accepted_from_other_client = true;
             return Some(Answer::Known);
         }
-        if self.journal.knows_id(&req.id, now) {
+        if req.keep_id_until > Micros(0) && self.journal.knows_id(&req.id, now) {
             return Some(Answer::Known);
         }
         if let Some(turn) = self.draining.refusal(now, req) {
@@ -80,7 +80,35 @@
             });
         }
         let full = self.messages.len() + before >= self.max_pending;
-        full.then_some(Answer::Refused(stay_away))
+        if full {
+            return Some(Answer::Refused(stay_away));
+        }
+        (!self.can_remember_id(now, req, before)).then_some(Answer::NoRoomForId(stay_away))
+    }
+
+    /// Whether the req's id can be remembered after its end, where it must be. Counts refusals, and logs when they begin
+    /// and end.
+    fn can_remember_id(&mut self, now: Micros, req: &Req, before: usize) -> bool {
+        // A message that reports another's end uses the room that was promised to the other.
+        if !self.journal.must_remember(req) || self.draining.is_own_class(req) {
+            return true;
+        }
+        let has_room = self.journal.has_room_for_id(now, before);
+        self.figures.refused_for_ids += u64::from(!has_room);
+        let was_refusing = std::mem::replace(&mut self.refuses_for_ids, !has_room);
+        let figures = self.journal.ended_id_figures();
+        match (was_refusing, has_room) {
+            (false, false) => tracing::warn!(
+                target: "journal",
+                "orders by mail are refused: {} ids of ended messages fill the room for {}, and none may be dropped yet",
+                figures.kept, figures.capacity
+            ),
+            (true, true) => {
+                tracing::info!(target: "journal", "orders by mail are taken again: there is room for their ids")
+            }
+            _ => {}
+        }
+        has_room
     }
 
     /// Records a batch in the journal and asks the decision module; changes the answers of reqs that are refused.
--- a/src/core/draining.rs
+++ b/src/core/draining.rs
@@ -117,9 +117,14 @@
         Draining { drains, dir, ends: BTreeMap::new(), effects, max_retry_after, own_class }
     }
 
+    /// Whether the courier itself submits the req to report the end of another message.
+    pub(super) fn is_own_class(&self, req: &Req) -> bool {
+        self.own_class == Some(req.class)
+    }
+
     /// The refusal of a new req, if it is in the scope of a drain.
     pub(super) fn refusal(&self, now: Micros, req: &Req) -> Option<Rejection> {
-        if self.own_class == Some(req.class) {
+        if self.is_own_class(req) {
             return None;
         }
         self.drains.rejection(now, &marks(req), self.max_retry_after)
@@ -127,7 +132,7 @@
 
     /// Whether no drain forbids that a fetch of this req begins now.
     pub(super) fn may_begin(&self, now: Micros, req: &Req) -> bool {
-        self.own_class == Some(req.class) || self.drains.may_begin(now, &marks(req), MIN_TIME_TO_BEGIN)
+        self.is_own_class(req) || self.drains.may_begin(now, &marks(req), MIN_TIME_TO_BEGIN)
     }
 
     /// The next deadline of a drain.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -145,6 +145,8 @@
     next_timer_at: Option<Micros>,
     stop_at: Option<Micros>,
     journal_outage: journal_outage::JournalOutage,
+    /// Whether the last req whose id must be remembered was refused for want of room for it.
+    refuses_for_ids: bool,
 }
 
 const TICK_INTERVAL_US: u64 = 5_000;
@@ -214,7 +216,9 @@
             next_timer_at: None,
             stop_at: None,
             journal_outage: journal_outage::JournalOutage::default(),
+            refuses_for_ids: false,
         };
+        core.journal.set_repeatable_classes(settings.repeatable_classes());
         core.open_history(now, options.history);
         core.apply_overrides(now);
         let mut handover = options.handed_over;
@@ -285,6 +289,7 @@
 
     /// Counts of message outcomes and the current state.
     pub fn figures(&mut self) -> &Metrics {
+        self.figures.ended_ids = self.journal.ended_id_figures();
         self.figures.pending = self.messages.len().saturating_sub(self.replays.active_count()) as u64;
         &self.figures
     }
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -185,6 +185,8 @@
         /// Number of the drain.
         drain: u64,
     },
+    /// A synthetic answer: refused, as the message's id could not be remembered after its end; retry after this time.
+    NoRoomForId(Micros),
     /// No backend was ever listed for this destination.
     NoSuchDest,
     /// Whether the fetch may begin.
--- a/src/net/mail/bounce.rs
+++ b/src/net/mail/bounce.rs
@@ -53,7 +53,7 @@
             true
         }
         Answer::Known => true,
-        Answer::Refused(_) | Answer::Draining { .. } | Answer::NoSuchDest => false,
+        Answer::Refused(_) | Answer::NoRoomForId(_) | Answer::Draining { .. } | Answer::NoSuchDest => false,
         Answer::MayBegin(_) | Answer::Acknowledged => false,
     }
 }
--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -253,7 +253,7 @@
         self.mail.config.partners.get(&domain(to)?)
     }
 
-    /// The text has ended, whatever is wrong with it, and is answered; `false`: nothing after it can be trusted.
+    /// Answers the text, whatever is wrong with it; `false`: nothing after it can be trusted.
     fn text(&mut self, out: &mut Vec<u8>) -> bool {
         let Some(text) = self.talk.text.take() else { return true };
         let fault = match text.bad {
@@ -293,6 +293,7 @@
             }
             Some(Answer::Known) => "250 2.0.0 taken before",
             Some(Answer::NoSuchDest) => "451 4.4.4 the partner has no mail backend just now",
+            Some(Answer::NoRoomForId(_)) => "452 4.3.1 no room to remember this order, come again later",
             Some(Answer::Refused(_)) => "451 4.3.2 busy, come again later",
             Some(Answer::Draining { .. }) => "451 4.3.2 draining, come again later",
             Some(Answer::MayBegin(_) | Answer::Acknowledged) => "451 4.3.0 local error",
--- a/src/net/platform/session.rs
+++ b/src/net/platform/session.rs
@@ -150,7 +150,7 @@
                 Response::new("202 Accepted")
             }
             Answer::Known => Response::new("202 Accepted"),
-            Answer::Refused(wait) => Response {
+            Answer::Refused(wait) | Answer::NoRoomForId(wait) => Response {
                 headers: format!("Retry-After: {:.3}\r\n", wait.secs()),
                 ..Response::new("503 Service Unavailable")
             },
--- a/src/store/appending.rs
+++ b/src/store/appending.rs
@@ -33,7 +33,7 @@
 
     /// Whether anything is still to be written or repaired.
     pub fn needs_repair(&self) -> bool {
-        self.has_unwritten() || self.tail != Tail::Whole || self.ids_stale
+        self.has_unwritten() || self.tail != Tail::Whole || self.ended_ids.needs_write()
     }
 
     /// The error of the last write; empty if it succeeded.
@@ -43,9 +43,8 @@
 
     /// Writes the records that could not be written before, and repairs the files that failed writes left.
     pub fn repair(&mut self) -> io::Result<()> {
-        if self.ids_stale {
-            self.rewrite_ids();
-        }
+        // The end of a message must not be on disk without the id by which the message is recognised.
+        self.ended_ids.write(&mut *self.storage)?;
         self.repair_tail()?;
         while let Some(records) = self.unwritten.pop_front() {
             if let Err(e) = self.append_to_tail(&records) {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -12,6 +12,7 @@
 pub mod checksummed_file;
 mod ended_ids;
 mod history_backlog;
+mod id_retention;
 pub mod owner;
 mod records;
 mod recovery;
@@ -21,7 +22,8 @@
 
 use crate::api::{Micros, ZoneId};
 use appending::Tail;
-use ended_ids::{read_ids, IDS_FILE};
+pub use ended_ids::EndedIdFigures;
+use ended_ids::EndedIds;
 use history_backlog::Backlog;
 pub use history_backlog::{EndKind, EndedMessage};
 use records::{
@@ -145,11 +147,9 @@
     segment_bytes: u64,
     segments: Vec<Segment>,
     pending: BTreeMap<u64, MessageState>,
-    /// Ids of ended messages that are still recognised, and until when.
-    ended_ids: BTreeMap<String, Micros>,
-    ids_bytes: u64,
-    /// The file of ids lacks some, or ends with an incomplete line.
-    ids_stale: bool,
+    ended_ids: EndedIds,
+    /// Classes whose messages may safely run twice, by position in the settings.
+    repeatable_classes: BTreeSet<u16>,
     /// Records that [`Journal::write_batch`] writes together; `None`: each record is written at once.
     batch: Option<Vec<u8>>,
     /// Complete records that could not be written, the oldest first; no entry is longer than a segment.
@@ -192,8 +192,8 @@
     fn read(
         mut storage: Box<dyn Storage>, budget: u64, now: Micros, incarnation: u64, start_mode: StartMode,
     ) -> io::Result<Journal> {
-        let ended_ids = read_ids(storage.read(IDS_FILE)?.unwrap_or_default(), now);
         let budget = budget.max(64 * 1024);
+        let ended_ids = EndedIds::read(&*storage, budget / id_retention::BUDGET_DIVISOR, now)?;
         let mut recovery = Recovery::default();
         let mut segments = read_segments(&*storage, &mut recovery)?;
         recovery.apply_start_mode(start_mode);
@@ -215,8 +215,7 @@
             segments,
             pending,
             ended_ids,
-            ids_bytes: 0,
-            ids_stale: true,
+            repeatable_classes: BTreeSet::new(),
             batch: None,
             unwritten: VecDeque::new(),
             tail: Tail::Missing,
@@ -250,11 +249,6 @@
         &self.pending
     }
 
-    /// Whether a message with this id has ended and may have taken effect.
-    pub fn knows_id(&self, id: &str, now: Micros) -> bool {
-        self.ended_ids.get(id).is_some_and(|until| *until > now)
-    }
-
     /// Accepts reqs, if possible with one write; returns how many of them, from the first on, had room. The caller must
     /// refuse the others. An error means that none could be written.
     pub fn accept(&mut self, reqs: &[(u64, Arc<Req>)]) -> io::Result<usize> {
--- a/src/store/segments.rs
+++ b/src/store/segments.rs
@@ -21,11 +21,10 @@
 }
 
 impl Journal {
-    /// Bytes on disk, each file in whole blocks. The file of ids counts twice, because a new copy is written beside
-    /// the old one.
+    /// Bytes on disk, each file in whole blocks.
     pub fn disk_bytes(&self) -> u64 {
-        let ids = self.ids_bytes.div_ceil(BLOCK_BYTES) * BLOCK_BYTES * 2;
-        ids + self.damaged_copies_bytes
+        self.ended_ids.bytes_on_disk()
+            + self.damaged_copies_bytes
             + self.segments.iter().map(|s| s.bytes.div_ceil(BLOCK_BYTES) * BLOCK_BYTES).sum::<u64>()
     }
 
--- a/src/store/storage.rs
+++ b/src/store/storage.rs
@@ -23,8 +23,8 @@
     fn remove(&mut self, name: &str) -> io::Result<()>;
 }
 
-/// Number of files that are kept open for their next append: the journal's tail and the list of ids.
-const MAX_OPEN_FILES: usize = 2;
+/// Number of files that are kept open for their next append: the journal's tail and two files of ids.
+const MAX_OPEN_FILES: usize = 3;
 
 /// Files in a directory on disk.
 pub struct DirStorage {
