--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -26,7 +26,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 pub(crate) use steps::classes_of;
-use steps::{keep_list, log_damages, read_file, reload, sharing_setup};
+use steps::{keep_list, log_damages, name_positions, read_file, reload, sharing_setup};
 
 /// Time from SIGTERM until client connections are closed.
 const CLOSE_DELAY: Duration = Duration::from_millis(3_100);
@@ -128,8 +128,10 @@
         (sessions, call_ends) = (taken.connections, Some(taken.call_ends));
     }
     let start_mode = if taken_over { StartMode::Handover } else { StartMode::Restart };
-    let journal = Journal::open_as(&state, journal_bytes, clock.now(), owner.claim.incarnation, start_mode)
-        .map_err(|e| state_error(&e))?;
+    let mut journal =
+        Journal::open_as(&state, journal_bytes, clock.now(), owner.claim.incarnation, start_mode)
+            .map_err(|e| state_error(&e))?;
+    journal.set_position_names(name_positions(&mut settings, &names, mail_config.as_ref()));
     log_damages(&journal);
     // If the claim file was damaged, the journal has the right incarnation.
     let incarnation = journal.incarnation();
--- a/src/daemon/steps.rs
+++ b/src/daemon/steps.rs
@@ -1,6 +1,7 @@
 //! Steps of the daemon's start and of its main loop.
 
 use super::{ReloadFn, SharedOwner};
+use crate::api::{Class, Effect, Micros, Settings};
 use crate::ask;
 use crate::checked::Fault;
 use crate::config::{Paths, PeerAddresses};
@@ -11,10 +12,20 @@
 use crate::net::{mail, platform};
 use crate::register::kept_copy::KeptCopyWriter;
 use crate::settings::NetworkSettings;
-use crate::store::Journal;
+use crate::store::{Journal, PositionNames};
 use std::path::Path;
 use std::sync::Arc;
 
+/// The class of a message whose own class is not known: it may run once, by its own deadline.
+const UNLISTED_CLASS: Class = Class {
+    aim: Micros(10_000_000),
+    deadline: Micros(20_000_000),
+    worth: 1.0,
+    late_worth: 1.0,
+    effect: Effect::Unsafe,
+    in_order: false,
+};
+
 /// Reads an operators' file. The error names the file and lists all its faults.
 pub(super) fn read_file<T>(
     path: &Path, read: impl FnOnce(&Path) -> Result<T, Vec<Fault>>,
@@ -35,6 +46,19 @@
     classes
 }
 
+/// Adds a class for messages of the journal whose own class the settings do not list, and names all classes and tenants for
+/// the journal.
+pub(super) fn name_positions(
+    settings: &mut Settings, names: &NetworkSettings, mail: Option<&mail::config::MailConfig>,
+) -> PositionNames {
+    let of_platform = names.classes.iter().map(|name| format!("platform:{name}"));
+    let of_mail = names.classes.iter().map(|name| format!("mail:{name}")).chain(["bounce:".to_owned()]);
+    let classes = of_platform.chain(of_mail.filter(|_| mail.is_some())).collect();
+    let unlisted_class = settings.classes.len() as u16;
+    settings.classes.push(UNLISTED_CLASS);
+    PositionNames { classes, tenants: names.tenants.clone(), unlisted_class }
+}
+
 /// What the gossip thread needs to share state. `None` if operators have not turned sharing on, or the configuration does
 /// not say which member this courier is.
 pub(super) fn sharing_setup(
--- a/src/history/keeper/tests.rs
+++ b/src/history/keeper/tests.rs
@@ -30,6 +30,7 @@
         open_attempt: None,
         final_outcome: None,
         last_reply: String::new(),
+        names: Default::default(),
     }
 }
 
--- a/src/store/history_backlog.rs
+++ b/src/store/history_backlog.rs
@@ -3,7 +3,7 @@
 //! process finds them here. Their segments stay until then.
 
 use super::records::encode_history_end;
-use super::{Journal, MessageState};
+use super::{Journal, MessageState, PositionNames};
 use crate::api::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -71,6 +71,11 @@
         backlog
     }
 
+    /// Gives the messages of an earlier process the positions that their names have now.
+    pub fn resolve_names(&mut self, names: &PositionNames) {
+        self.untaken.iter_mut().for_each(|end| names.resolve(&mut end.state));
+    }
+
     fn push(&mut self, end: EndedMessage) {
         let bytes = size_of_message(&end.state);
         self.bytes += bytes;
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -14,6 +14,7 @@
 mod history_backlog;
 mod id_retention;
 pub mod owner;
+mod recorded_names;
 mod records;
 mod recovery;
 pub mod salvage;
@@ -26,6 +27,7 @@
 use ended_ids::EndedIds;
 use history_backlog::Backlog;
 pub use history_backlog::{EndKind, EndedMessage};
+pub use recorded_names::{PositionNames, RecordedNames};
 use records::{
     apply, attempt_start_body, encode_accept, put_final_outcome, put_record, put_text, record_body, END,
     FINAL_OUTCOME, OUTCOME,
@@ -126,6 +128,8 @@
     pub final_outcome: Option<FinalOutcome>,
     /// The last reply of a backend, for the notice of the message's end.
     pub last_reply: String,
+    /// Names of its class and tenant.
+    pub names: RecordedNames,
 }
 
 /// Stored data that differs from what was written.
@@ -150,6 +154,8 @@
     ended_ids: EndedIds,
     /// Classes whose messages may safely run twice, by position in the settings.
     repeatable_classes: BTreeSet<u16>,
+    /// Names of the positions that reqs hold; `None`: they are not recorded.
+    names: Option<PositionNames>,
     /// Records that [`Journal::write_batch`] writes together; `None`: each record is written at once.
     batch: Option<Vec<u8>>,
     /// Complete records that could not be written, the oldest first; no entry is longer than a segment.
@@ -216,6 +222,7 @@
             pending,
             ended_ids,
             repeatable_classes: BTreeSet::new(),
+            names: None,
             batch: None,
             unwritten: VecDeque::new(),
             tail: Tail::Missing,
@@ -261,6 +268,7 @@
                 open_attempt: None,
                 final_outcome: None,
                 last_reply: String::new(),
+                names: self.names_of(req),
             };
             let body = encode_accept(*msg, &state);
             match self.make_room((records.len() + RECORD_HEADER_BYTES + body.len()) as u64) {
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -1,6 +1,6 @@
 //! Record bodies: their encoding, and how a record changes the state of the pending messages.
 
-use super::{EndKind, FinalOutcome, MessageState, Req, StartedAttempt};
+use super::{EndKind, FinalOutcome, MessageState, RecordedNames, Req, StartedAttempt};
 use crate::api::{Micros, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -95,6 +95,7 @@
     put_text(&mut out, &state.last_reply);
     put_zone(&mut out, state.first_uncertain.as_ref());
     put_zone(&mut out, state.open_attempt.as_ref());
+    state.names.put(&mut out);
     out
 }
 
@@ -140,7 +141,7 @@
         let length = self.u32()? as usize;
         Some(self.take(length)?.to_vec())
     }
-    fn text(&mut self) -> Option<String> {
+    pub fn text(&mut self) -> Option<String> {
         String::from_utf8(self.bytes()?).ok()
     }
     fn started_attempt(&mut self) -> Option<StartedAttempt> {
@@ -199,11 +200,13 @@
             open_attempt: self.attempt()?,
             final_outcome: self.final_outcome()?,
             last_reply: self.text()?,
+            names: RecordedNames::default(),
         };
         for attempt in [&mut state.first_uncertain, &mut state.open_attempt] {
             let zone = self.zone();
             attempt.iter_mut().for_each(|attempt| attempt.zone = zone);
         }
+        state.names = RecordedNames::read(self);
         Some(state)
     }
 }
--- a/tests/history_spread.rs
+++ b/tests/history_spread.rs
@@ -131,6 +131,7 @@
             open_attempt: None,
             final_outcome: None,
             last_reply: said,
+            names: Default::default(),
         };
         let end = |at| EndedMessage { seq: number, msg: number, state: owed, at, how: EndKind::Delivered };
         self.with(i, |k, now| k.take_in(now, &[end(now)]));
--- a/tests/history_store.rs
+++ b/tests/history_store.rs
@@ -45,6 +45,7 @@
         open_attempt: None,
         final_outcome: None,
         last_reply: String::new(),
+        names: Default::default(),
     }
 }
 
--- a/tests/measure_history.rs
+++ b/tests/measure_history.rs
@@ -176,6 +176,7 @@
         open_attempt: None,
         final_outcome: None,
         last_reply: String::new(),
+        names: Default::default(),
     };
     for round in 0..200_u64 {
         let (at, how) = (clock.now(), EndKind::Delivered);
