--- a/src/store/ended_ids.rs
+++ b/src/store/ended_ids.rs
@@ -132,7 +132,12 @@
         for name in storage.names()? {
             if let Some(period) = Period::from_file_name(&name) {
                 let bytes = storage.read(&name)?.unwrap_or_default();
-                ids.periods.insert(period, PeriodIds::read(&bytes));
+                let read = PeriodIds::read(&bytes);
+                let damaged = read.file_bytes as usize / ENTRY_BYTES - read.expiry_by_hash.len();
+                if damaged > 0 {
+                    tracing::warn!(target: "journal", "{name}: {damaged} ids are damaged or doubled, and are not recognised");
+                }
+                ids.periods.insert(period, read);
             }
         }
         if let Some(bytes) = storage.read(LEGACY_FILE)? {
