--- a/src/register/types.rs
+++ b/src/register/types.rs
@@ -53,9 +53,9 @@
     weight: f64,
     rank: u16,
     #[serde(default)]
-    kind_name: Arc<str>,
+    kind_name: String,
     #[serde(default)]
-    zone_name: Arc<str>,
+    zone_name: String,
 }
 
 impl From<EndpointRecord> for HandedOverRecord {
@@ -71,8 +71,8 @@
             state,
             weight,
             rank,
-            kind_name: kind,
-            zone_name: zone,
+            kind_name: kind.to_string(),
+            zone_name: zone.to_string(),
         }
     }
 }
@@ -81,7 +81,16 @@
     /// The positions of an older version are not used: one position stands for every name that its settings lack.
     fn from(record: HandedOverRecord) -> EndpointRecord {
         let HandedOverRecord { name, addr, dest, state, weight, rank, kind_name, zone_name, .. } = record;
-        EndpointRecord { name, addr, dest, kind: kind_name, zone: zone_name, state, weight, rank }
+        EndpointRecord {
+            name,
+            addr,
+            dest,
+            kind: kind_name.into(),
+            zone: zone_name.into(),
+            state,
+            weight,
+            rank,
+        }
     }
 }
 
