--- a/src/core/backend_lists.rs
+++ b/src/core/backend_lists.rs
@@ -5,6 +5,7 @@
 use crate::api::{DestinationId, EndpointId, Entry, Event, ListingState, Micros, Outcome, ZoneId};
 use crate::register::trust::CallEnd;
 use crate::register::{EndpointChange, RegistryEffects};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// How long a removed backend stays known. It exceeds every window in which a message may be repeated.
@@ -62,15 +63,21 @@
     pub(super) fn list_change_events(&mut self, now: Micros, front: u8, news: RegistryEffects) -> Vec<Event> {
         news.log_lines.iter().for_each(|words| tracing::info!(target: "register", "{words}"));
         let mut lines = Vec::with_capacity(news.changes.len());
+        // Most endpoints share their zone with others.
+        let mut zone_ids: HashMap<Arc<str>, Option<ZoneId>> = HashMap::new();
         for EndpointChange { record: line, ejected } in news.changes {
             let key = (front, line.name.clone());
             let endpoint = self.endpoint_id(front, &line.name);
             let kind = self.listed_kinds.kind_of(&line);
+            let zone = match zone_ids.get(&line.zone) {
+                Some(zone) => *zone,
+                None => *zone_ids.entry(line.zone.clone()).or_insert(ZoneId::of_name(&line.zone)),
+            };
             lines.push(Entry {
                 endpoint,
                 destination: DestinationId(line.dest),
                 kind,
-                zone: ZoneId::of_name(&line.zone),
+                zone,
                 state: match line.state {
                     EndpointState::Up if ejected => ListingState::Draining,
                     EndpointState::Up => ListingState::Ready,
@@ -81,8 +88,7 @@
                 rank: line.rank,
             });
             self.batches.set_kind(endpoint, kind);
-            let listed =
-                Arc::new(Backend { name: key.1, addr: line.addr, zone: ZoneId::of_name(&line.zone) });
+            let listed = Arc::new(Backend { name: key.1, addr: line.addr, zone });
             if line.state == EndpointState::Gone {
                 self.removed_backends.push_back((now, front, listed.clone()));
             }
--- a/tests/clock.rs
+++ b/tests/clock.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use indigohold::clock::anchor::{resume, Anchor, ClockReading};
-use indigohold::store::{Journal, Req};
+use indigohold::store::{Journal, PositionNames, Req};
 use indigohold::Micros;
 use std::path::Path;
 use std::sync::Arc;
@@ -122,6 +122,15 @@
     })
 }
 
+/// The names that the program gives the first class and tenant of [`environment`].
+fn position_names() -> PositionNames {
+    PositionNames {
+        classes: vec!["platform:print-order".to_owned()],
+        tenants: vec!["tallowood".to_owned()],
+        unlisted_class: 1,
+    }
+}
+
 /// Guards against a process that counts a step of the wall clock as elapsed time: deadlines and deduplication windows from the
 /// earlier run would end too early or too late.
 #[test]
@@ -131,6 +140,7 @@
         let dir = site.folder.0.join("state");
         let now = write_earlier_anchor(&dir, step);
         let mut journal = Journal::open(&dir, 3_000_000, now).unwrap();
+        journal.set_position_names(position_names());
         let window = Micros(8 * S);
         let accepted = [
             (1, req("has-time", now + Micros(15 * S))),
