--- a/src/net/mail/mod.rs
+++ b/src/net/mail/mod.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod dns;
 pub mod lines;
+pub mod message;
 pub mod server;
 
 use super::acceptor::{self, AcceptorHandle, BufferLimits, ClientProtocol, ConnectionAcceptor};
--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -6,11 +6,11 @@
 use super::config::Partner;
 use super::dns::zone::Protocol;
 use super::lines::{self, BadLine, BadText, Text};
+use super::message::{domain_of, header_field, hop_count, is_plain_address, message_id};
 use super::{Mail, FRONT};
 use crate::api::Micros;
 use crate::core::{Answer, Req};
 use crate::net::acceptor::{ClientProtocol, CloseReason, Parsed, Reply};
-use sha2::{Digest, Sha256};
 use smtp_proto::{Request, MAIL_BODY_BINARYMIME, MAIL_BY_RETURN};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -210,11 +210,12 @@
         if from.size > config.message_bytes {
             return "552 5.3.4 message too big".into();
         }
-        if from.flags & MAIL_BODY_BINARYMIME != 0 || !from.address.is_empty() && !plain_address(&from.address)
+        if from.flags & MAIL_BODY_BINARYMIME != 0
+            || !from.address.is_empty() && !is_plain_address(&from.address)
         {
             return "553 5.1.7 this sender's address or its parameters are not taken".into();
         }
-        let tenant = match domain(&from.address) {
+        let tenant = match domain_of(&from.address) {
             // A null sender is nobody's; what it sends counts to the first tenant.
             None => Some(0),
             Some(domain) => config.senders.get(&domain).copied(),
@@ -238,7 +239,7 @@
         if self.talk.to.len() >= RECIPIENTS_MOST {
             return "452 4.5.3 too many recipients".into();
         }
-        if !plain_address(to) {
+        if !is_plain_address(to) {
             return "553 5.1.3 this address is not taken".into();
         }
         if self.partner(to).is_none() {
@@ -250,7 +251,7 @@
     }
 
     fn partner(&self, to: &str) -> Option<&Partner> {
-        self.mail.config.partners.get(&domain(to)?)
+        self.mail.config.partners.get(&domain_of(to)?)
     }
 
     /// Answers the text, whatever is wrong with it; `false`: nothing after it can be trusted.
@@ -260,7 +261,7 @@
             Some(BadText::Bare) => Some("554 5.6.0 lines end in CR LF and nothing else"),
             Some(BadText::Line) => Some("554 5.6.0 a line is too long"),
             Some(BadText::Size) => Some("552 5.3.4 message too big"),
-            None if hops(&text.bytes) > HOPS_MOST => Some("554 5.4.6 too many hops"),
+            None if hop_count(&text.bytes) > HOPS_MOST => Some("554 5.4.6 too many hops"),
             None => None,
         };
         let replies = match fault {
@@ -316,14 +317,14 @@
     fn req(&self, to: &str, text: &[u8]) -> Option<Req> {
         let (mail, partner) = (self.mail, self.partner(to)?);
         let (from, tenant, by) = self.talk.from.clone()?;
-        let class = match header(text, "req-kind") {
+        let class = match header_field(text, "req-kind") {
             None => partner.class,
             Some(name) => *mail.config.classes.get(&name)?,
         };
         let now = mail.courier.clock.now();
         let deadline = now + mail.config.deadlines[usize::from(class)];
         let envelope = Envelope { from, to: to.to_owned() };
-        let id = id(&envelope, text);
+        let id = message_id(&envelope, text);
         let trace = format!(
             "Received: from {} ({})\r\n\tby {} with {} id {id};\r\n\t{}\r\n",
             self.talk.hello.as_deref().unwrap_or("unknown"),
@@ -356,46 +357,3 @@
         _ => "501 5.5.2 syntax error",
     }
 }
-
-/// A dot-atom at a domain, which goes out again as it came in. Quoted local parts and other scripts are refused
-/// in clear words.
-fn plain_address(address: &str) -> bool {
-    let Some((local, domain)) = address.rsplit_once('@') else { return false };
-    let atom = |s: &str| {
-        !s.is_empty() && s.bytes().all(|b| b.is_ascii_alphanumeric() || b"!#$%&'*+-/=?^_`{|}~".contains(&b))
-    };
-    address.len() <= 254 && local.split('.').all(atom) && domain.split('.').all(atom)
-}
-
-fn domain(address: &str) -> Option<String> {
-    address.rsplit_once('@').map(|(_, domain)| domain.to_ascii_lowercase())
-}
-
-/// The lines of a message's header, continued ones joined.
-fn fields(text: &[u8]) -> impl Iterator<Item = (String, String)> {
-    let end = text.windows(4).position(|w| w == b"\r\n\r\n").unwrap_or(text.len());
-    let header = String::from_utf8_lossy(&text[..end]).replace("\r\n ", " ").replace("\r\n\t", " ");
-    let split =
-        |line: &str| line.split_once(':').map(|(k, v)| (k.trim().to_ascii_lowercase(), v.trim().to_owned()));
-    header.split("\r\n").filter_map(split).collect::<Vec<_>>().into_iter()
-}
-
-fn header(text: &[u8], name: &str) -> Option<String> {
-    fields(text).find(|(k, _)| k == name).map(|(_, v)| v)
-}
-
-fn hops(text: &[u8]) -> usize {
-    fields(text).filter(|(k, _)| k == "received").count()
-}
-
-/// What makes a message the same when it is handed in again: sender, recipient and its Message-ID; a message
-/// without one is known by its whole text.
-fn id(envelope: &Envelope, text: &[u8]) -> String {
-    let mut hash = Sha256::new();
-    hash.update(envelope.head().to_ascii_lowercase());
-    match header(text, "message-id").filter(|id| !id.is_empty()) {
-        Some(id) => hash.update([b"\0id\0", id.as_bytes()].concat()),
-        None => hash.update([b"\0text\0", text].concat()),
-    }
-    hash.finalize().iter().take(16).map(|b| format!("{b:02x}")).collect()
-}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -8,7 +8,6 @@
 use indigohold::store::storage::MemoryStorage;
 use indigohold::store::Journal;
 use indigohold::{Effect, Micros};
-use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 use tempfile::tempdir;
@@ -22,10 +21,9 @@
 }
 
 fn endpoint(name: &str, dest: u16, state: EndpointState) -> EndpointRecord {
-    let addr: SocketAddr = "127.0.0.1:9".parse().unwrap();
     EndpointRecord {
         name: name.into(),
-        addr,
+        addr: ([127, 0, 0, 1], 9).into(),
         dest,
         kind: "".into(),
         zone: "".into(),
