A drain's test takes a notice that is sent again for the same answer

Traced: a request with notices that is not answered within 100 ms is sent again (FIRST_TIMEOUT); with 150 ms of delay put into the stand-in's third answer, and nothing else, the test fails in the same way. PROTOCOL allows it: a notice for a message that is already over does no harm. The test is about one answer for each message, and now demands that: all notices of a message are the same to the letter. Two different ones fail it as before.

--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use indigohold::control::schema::{DrainScope, NewDrain};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::process::Command;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -204,9 +204,12 @@
     }
     println!("{wins} cancels won, {losses} came too late");
     let all = site.discovery.notices.lock().unwrap();
-    let mut times: BTreeMap<String, usize> = BTreeMap::new();
-    all.iter().for_each(|n| *times.entry(n["message"].to_string()).or_default() += 1);
-    assert!(times.values().all(|n| *n == 1), "{times:?}");
+    // A notice that is not answered within 100 ms comes once more, and the same again does no harm to the platform.
+    let mut answers: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for notice in all.iter() {
+        answers.entry(notice["message"].to_string()).or_default().insert(notice.to_string());
+    }
+    assert!(answers.values().all(|of_message| of_message.len() == 1), "{answers:?}");
 }
 
 /// The drain outlives its process, by SIGKILL and by SIGTERM, and strikes at once when its time has passed meanwhile.
