A crowd's test uses a class that may never be repeated, so that once means once

With a delay of 1.1 s in the stand-in's first answer to m7, and nothing else, it fails with m7 delivered twice. The class is now one that must not be repeated: a second delivery is a broken rule whatever the load, and the test says whose it was. Its other checks are as before.

--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -86,7 +86,9 @@
 /// one request each and stay connected, and all must be answered.
 #[test]
 fn clients_that_stay_connected_after_one_request_are_all_answered() {
-    let env = environment(SOCKETS, 64);
+    let mut env = environment(SOCKETS, 64);
+    // A call that the loaded machine answers late may be repeated if its class is keyed. This one may never be.
+    env.config["settings"]["profiles"][0]["idempotency"] = "side_effect".into();
     env.folder.write("channel.json", r#"{"socket": "run/control.sock"}"#);
     let (program, addr) = env.start();
     let mut persistent = PersistentClient::new(addr);
@@ -103,7 +105,8 @@
         assert_eq!(read_response(stream), Response::Status(202), "m{n}");
     }
     until("deliveries", || env.delivered().len() == 2 * CROWD);
-    assert!(env.delivered().values().all(|n| *n == 1));
+    let repeated: Vec<_> = env.delivered().into_iter().filter(|(_, n)| *n > 1).collect();
+    assert!(repeated.is_empty(), "{repeated:?}");
     let mut control = Client::new(&env.folder.0.join("run/control.sock"));
     until("the answered requests in the status", || {
         control.status().unwrap().clients["platform"].answered == 2 * CROWD as u64
