--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,5 +6,6 @@
 mkdir -p target/review-2
 for source in review/standins-2/*.rs; do
     name=$(basename "$source" .rs)
-    [ "$name" = common ] || rustc --edition 2021 -O -o "target/review-2/$name" "$source"
+    case $name in common | mail) continue ;; esac
+    rustc --edition 2021 -O -o "target/review-2/$name" "$source"
 done
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -59,9 +60,10 @@
     true
 }
 
-/// A free loopback address.
-pub fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+/// Free loopback addresses, for the courier. To be called once, after all stand-ins have theirs.
+pub fn free_addrs<const N: usize>() -> [SocketAddr; N] {
+    let held = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    held.map(|listener| listener.local_addr().expect("its address"))
 }
 
 /// A temporary folder that is removed with this value.
@@ -245,13 +247,16 @@
     changes: Arc<Mutex<Vec<Vec<Instance>>>>,
     /// The lines of all notices.
     pub notices: Arc<Mutex<Vec<String>>>,
+    /// While discovery is down, its agent is silent: connections stay open, and nothing is written.
+    pub silent: Arc<AtomicBool>,
 }
 
 impl Platform {
     pub fn start(record: &Record, list: Vec<Instance>) -> Platform {
         let changes = Arc::new(Mutex::new(vec![list]));
         let notices: Arc<Mutex<Vec<String>>> = Arc::default();
-        let (all, told, record) = (changes.clone(), notices.clone(), record.clone());
+        let silent: Arc<AtomicBool> = Arc::default();
+        let (all, told, down, record) = (changes.clone(), notices.clone(), silent.clone(), record.clone());
         let addr = serve(move |request, out| {
             if request.line.starts_with("POST /v1/notices") {
                 for line in String::from_utf8_lossy(&request.body).lines() {
@@ -260,13 +265,16 @@
                 }
                 return out.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").is_ok();
             }
+            while down.load(Ordering::SeqCst) {
+                thread::sleep(ms(5));
+            }
             if !request.line.contains("watch=1") {
                 let (_, text) = next_line(&all, 0);
                 return out.write_all(&response("200 OK", "", text.as_bytes())).is_ok();
             }
-            watch(&all, out).is_ok()
+            watch(&all, &down, out).is_ok()
         });
-        Platform { addr, changes, notices }
+        Platform { addr, changes, notices, silent }
     }
 
     /// Changes entries of the list.
@@ -304,10 +312,13 @@
 }
 
 /// Answers a watch until its connection ends: each change on a line, and an empty line every 2 s.
-fn watch(changes: &Mutex<Vec<Vec<Instance>>>, out: &mut TcpStream) -> std::io::Result<()> {
+fn watch(changes: &Mutex<Vec<Vec<Instance>>>, down: &AtomicBool, out: &mut TcpStream) -> std::io::Result<()> {
     out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
     let (mut seen, mut written) = (0, Instant::now());
     loop {
+        while down.load(Ordering::SeqCst) {
+            thread::sleep(ms(5));
+        }
         let (version, text) = next_line(changes, seen);
         if version != seen || written.elapsed() >= ms(2_000) {
             write!(out, "{:x}\r\n{text}\n\r\n", text.len() + 1)?;
--- a/review/standins-2/spoilt_batch.rs
+++ b/review/standins-2/spoilt_batch.rs
@@ -1,4 +1,4 @@
-//! Case 6: an endpoint answers one call with several messages by a spoilt body, and the courier must go on.
+//! An endpoint answers one call with several messages by a spoilt body, and the courier must go on.
 
 mod common;
 use common::*;
@@ -67,7 +67,7 @@
     let instance =
         Instance { id: "s-1".into(), addr: endpoint, kind: "underwriter", cell: 3, lifecycle: "up", weight: 1.0 };
     let platform = Platform::start(record, vec![instance]);
-    let listen = free_addr();
+    let [listen] = free_addrs();
     folder.write("config.json", &config(&listen.to_string(), &platform.addr.to_string()));
     let mut courier = Courier::start(&folder, record, &[]);
     if !wait_until(ms(10_000), || is_ready(listen)) {
