--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A message by mail fails while its partner is shut, is bounced, is handed in again, and fails again: its second end has to be
-# told too. With TROUBLE=0 the partner is never shut.
-exec sh "$(dirname "$0")/../run-2.sh" second_bounce 8
+# An endpoint is replaced; the courier is told that the old one drains, and is killed soon after while discovery is down (with
+# TROUBLE=0 nothing is killed or down). The next process may send the old endpoint nothing new.
+exec sh "$(dirname "$0")/../run-2.sh" forgotten_drain 8
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A dynamic update moves a partner's endpoint; then the operators add a zone to the mail front's file (not with TROUBLE=0) and
-# restart the courier as planned. The endpoint that the update removed may get nothing new.
-exec sh "$(dirname "$0")/../run-2.sh" forgotten_update 9
+# A message by mail fails while its partner is shut, is bounced, is handed in again, and fails again: its second end has to be
+# told too. With TROUBLE=0 the partner is never shut.
+exec sh "$(dirname "$0")/../run-2.sh" second_bounce 9
