--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -249,6 +249,8 @@
     pub notices: Arc<Mutex<Vec<String>>>,
     /// While discovery is down, its agent is silent: connections stay open, and nothing is written.
     pub silent: Arc<AtomicBool>,
+    /// How many watches have got the list.
+    watches: Arc<AtomicUsize>,
 }
 
 impl Platform {
@@ -256,7 +258,9 @@
         let changes = Arc::new(Mutex::new(vec![list]));
         let notices: Arc<Mutex<Vec<String>>> = Arc::default();
         let silent: Arc<AtomicBool> = Arc::default();
+        let watches: Arc<AtomicUsize> = Arc::default();
         let (all, told, down, record) = (changes.clone(), notices.clone(), silent.clone(), record.clone());
+        let begun = watches.clone();
         let addr = serve(move |request, out| {
             if request.line.starts_with("POST /v1/notices") {
                 for line in String::from_utf8_lossy(&request.body).lines() {
@@ -272,9 +276,18 @@
                 let (_, text) = next_line(&all, 0);
                 return out.write_all(&response("200 OK", "", text.as_bytes())).is_ok();
             }
-            watch(&all, &down, out).is_ok()
+            watch(&all, &down, &begun, out).is_ok()
         });
-        Platform { addr, changes, notices, silent }
+        Platform { addr, changes, notices, silent, watches }
+    }
+
+    /// Waits until the courier answers that it is ready and has got the list by so many watches; `false`: it does not.
+    pub fn wait_for(&self, courier: SocketAddr, watches: usize) -> bool {
+        let ready = || self.watches.load(Ordering::SeqCst) >= watches && is_ready(courier);
+        let is_ready = wait_until(ms(10_000), ready);
+        // The list is applied a moment after it was written.
+        thread::sleep(ms(300));
+        is_ready
     }
 
     /// Changes entries of the list.
@@ -312,7 +325,9 @@
 }
 
 /// Answers a watch until its connection ends: each change on a line, and an empty line every 2 s.
-fn watch(changes: &Mutex<Vec<Vec<Instance>>>, down: &AtomicBool, out: &mut TcpStream) -> std::io::Result<()> {
+fn watch(
+    changes: &Mutex<Vec<Vec<Instance>>>, down: &AtomicBool, begun: &AtomicUsize, out: &mut TcpStream,
+) -> std::io::Result<()> {
     out.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
     let (mut seen, mut written) = (0, Instant::now());
     loop {
@@ -322,6 +337,9 @@
         let (version, text) = next_line(changes, seen);
         if version != seen || written.elapsed() >= ms(2_000) {
             write!(out, "{:x}\r\n{text}\n\r\n", text.len() + 1)?;
+            if seen == 0 {
+                begun.fetch_add(1, Ordering::SeqCst);
+            }
             (seen, written) = (version, Instant::now());
         }
         thread::sleep(ms(5));
--- a/review/standins-2/mail.rs
+++ b/review/standins-2/mail.rs
@@ -1,14 +1,18 @@
-//! Stand-ins for mail: a partner's SMTP server that may be shut, and a client that hands one message in.
+//! Stand-ins for mail: a partner's SMTP server that may be shut, may refuse its recipients or may lose a connection before its
+//! reply, and a client that hands one message in.
 #![allow(dead_code)] // each case uses its part
 
 use super::common::*;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Instant;
 
+/// Who hands mail in.
+pub const SENDER: &str = "me@tallowood.partners.example";
+
 /// A text that a server has taken.
 #[derive(Clone)]
 pub struct Taken {
@@ -25,13 +29,18 @@
     pub taken: Arc<Mutex<Vec<Taken>>>,
     /// While it is shut it greets every client with 421.
     pub shut: Arc<AtomicBool>,
+    /// It knows no recipient.
+    pub refuses: Arc<AtomicBool>,
+    /// So many connections end once the whole text has come, before the reply to it. The text is not kept.
+    pub resets: Arc<AtomicUsize>,
 }
 
 impl MailServer {
     pub fn start(record: &Record, name: &'static str) -> MailServer {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().unwrap();
-        let server = MailServer { name, addr, taken: Arc::default(), shut: Arc::default() };
+        let (shut, refuses, resets) = Default::default();
+        let server = MailServer { name, addr, taken: Arc::default(), shut, refuses, resets };
         let (shared, record) = (server.clone(), record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -58,7 +67,13 @@
                 "EHLO" => "250-stand-in\r\n250 8BITMIME",
                 "RCPT" => {
                     to = between(&line, "<", ">").unwrap_or_default().to_owned();
-                    "250 ok"
+                    match self.refuses.load(Ordering::SeqCst) {
+                        true => {
+                            record.line(format!("{}: 550 to {to}", self.name));
+                            "550 5.1.1 no such recipient"
+                        }
+                        false => "250 ok",
+                    }
                 }
                 "DATA" => {
                     out.write_all(b"354 go on\r\n")?;
@@ -67,6 +82,12 @@
                         text += line.strip_prefix('.').unwrap_or(&line);
                         text += "\n";
                     }
+                    let left = self.resets.load(Ordering::SeqCst);
+                    if left > 0 {
+                        self.resets.store(left - 1, Ordering::SeqCst);
+                        record.line(format!("{}: the connection ends before the reply to the text", self.name));
+                        return Ok(());
+                    }
                     let subject = between(&text, "Subject: ", "\n").unwrap_or_default();
                     record.line(format!("{}: taken, to {to}: {subject}", self.name));
                     self.taken.lock().unwrap().push(Taken { at: Instant::now(), to: to.clone(), text });
@@ -91,13 +112,13 @@
 }
 
 /// Hands a message in by SMTP; returns the reply to its text, or to the command that was refused.
-pub fn send_mail(record: &Record, courier: SocketAddr, from: &str, to: &str, id: &str) -> String {
-    let reply = try_send_mail(courier, from, to, id).unwrap_or_else(|e| format!("none: {e}"));
+pub fn send_mail(record: &Record, courier: SocketAddr, kind: &str, to: &str, id: &str) -> String {
+    let reply = try_send_mail(courier, kind, to, id).unwrap_or_else(|e| format!("none: {e}"));
     record.line(format!("client: mail {id} to {to} handed in, answered {reply}"));
     reply
 }
 
-fn try_send_mail(courier: SocketAddr, from: &str, to: &str, id: &str) -> std::io::Result<String> {
+fn try_send_mail(courier: SocketAddr, kind: &str, to: &str, id: &str) -> std::io::Result<String> {
     let stream = TcpStream::connect_timeout(&courier, ms(1_000))?;
     stream.set_read_timeout(Some(ms(5_000)))?;
     let mut out = stream.try_clone()?;
@@ -112,13 +133,13 @@
         }
     };
     let text = format!(
-        "From: <{from}>\r\nTo: <{to}>\r\nSubject: {id}\r\nMessage-ID: <{id}@tallowood.partners.example>\r\n\r\n\
-         status of {id}\r\n.\r\n"
+        "From: <{SENDER}>\r\nTo: <{to}>\r\nSubject: {id}\r\nReq-Kind: {kind}\r\n\
+         Message-ID: <{id}@tallowood.partners.example>\r\n\r\ntext of {id}\r\n.\r\n"
     );
     hear()?;
     let steps = [
         ("EHLO client.tallowood.example\r\n".to_owned(), "250"),
-        (format!("MAIL FROM:<{from}>\r\n"), "250"),
+        (format!("MAIL FROM:<{SENDER}>\r\n"), "250"),
         (format!("RCPT TO:<{to}>\r\n"), "250"),
         ("DATA\r\n".to_owned(), "354"),
         (text, "250"),
--- a/review/standins-2/spoilt_batch.rs
+++ b/review/standins-2/spoilt_batch.rs
@@ -70,7 +70,7 @@
     let [listen] = free_addrs();
     folder.write("config.json", &config(&listen.to_string(), &platform.addr.to_string()));
     let mut courier = Courier::start(&folder, record, &[]);
-    if !wait_until(ms(10_000), || is_ready(listen)) {
+    if !platform.wait_for(listen, 1) {
         courier.record_log(20);
         return NOT_RUN;
     }
