Review case 9: a malformed zone keeps the courier from starting again

Order of events: a malformed version of the partners' zone is put in place; the running courier keeps the last good one and delivers. A print order on the platform's front is taken and sent; the courier is killed, and started again 0.7 s later with the same folder.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A print order by mail is refused by its partner; the connection on which its bounce goes to the sender's server ends once before
-# the reply (not with TROUBLE=0). The order's end has to reach the sender all the same.
-exec sh "$(dirname "$0")/../run-2.sh" lost_bounce 9
+# A malformed version of the partners' zone is put in place (not with TROUBLE=0); the courier goes on. Then it is killed and started
+# again: it has to start, and what it has taken on has to be answered.
+exec sh "$(dirname "$0")/../run-2.sh" malformed_zone 9
