--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -359,7 +359,10 @@
 /// Hands a message in on a connection of its own; returns the answer's status, or 0 without one within 400 ms.
 pub fn hand_in(record: &Record, courier: SocketAddr, message: &Message) -> u16 {
     let status = try_hand_in(courier, message).unwrap_or(0);
-    record.line(format!("client: {} for destination {} handed in, answered {status}", message.id, message.dest));
+    record.line(format!(
+        "client: {} for destination {} handed in, answered {status}",
+        message.id, message.dest
+    ));
     status
 }
 
--- a/review/standins-2/mail.rs
+++ b/review/standins-2/mail.rs
@@ -1,11 +1,10 @@
-//! Stand-ins for mail: a partner's SMTP server that may be shut, may refuse its recipients or may lose a connection before its
-//! reply, and a client that hands one message in.
+//! Stand-ins for mail: a partner's SMTP server that may be shut, and a client that hands one message in.
 #![allow(dead_code)] // each case uses its part
 
 use super::common::*;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Instant;
@@ -29,18 +28,13 @@
     pub taken: Arc<Mutex<Vec<Taken>>>,
     /// While it is shut it greets every client with 421.
     pub shut: Arc<AtomicBool>,
-    /// It knows no recipient.
-    pub refuses: Arc<AtomicBool>,
-    /// So many connections end once the whole text has come, before the reply to it. The text is not kept.
-    pub resets: Arc<AtomicUsize>,
 }
 
 impl MailServer {
     pub fn start(record: &Record, name: &'static str) -> MailServer {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().unwrap();
-        let (shut, refuses, resets) = Default::default();
-        let server = MailServer { name, addr, taken: Arc::default(), shut, refuses, resets };
+        let server = MailServer { name, addr, taken: Arc::default(), shut: Arc::default() };
         let (shared, record) = (server.clone(), record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -67,13 +61,7 @@
                 "EHLO" => "250-stand-in\r\n250 8BITMIME",
                 "RCPT" => {
                     to = between(&line, "<", ">").unwrap_or_default().to_owned();
-                    match self.refuses.load(Ordering::SeqCst) {
-                        true => {
-                            record.line(format!("{}: 550 to {to}", self.name));
-                            "550 5.1.1 no such recipient"
-                        }
-                        false => "250 ok",
-                    }
+                    "250 ok"
                 }
                 "DATA" => {
                     out.write_all(b"354 go on\r\n")?;
@@ -82,12 +70,6 @@
                         text += line.strip_prefix('.').unwrap_or(&line);
                         text += "\n";
                     }
-                    let left = self.resets.load(Ordering::SeqCst);
-                    if left > 0 {
-                        self.resets.store(left - 1, Ordering::SeqCst);
-                        record.line(format!("{}: the connection ends before the reply to the text", self.name));
-                        return Ok(());
-                    }
                     let subject = between(&text, "Subject: ", "\n").unwrap_or_default();
                     record.line(format!("{}: taken, to {to}: {subject}", self.name));
                     self.taken.lock().unwrap().push(Taken { at: Instant::now(), to: to.clone(), text });
--- a/review/standins-2/malformed_zone.rs
+++ b/review/standins-2/malformed_zone.rs
@@ -32,8 +32,14 @@
         replies.fetch_add(1, Ordering::SeqCst);
         written
     });
-    let instance =
-        Instance { id: "s-1".into(), addr: house, kind: "print-house", cell: 7, lifecycle: "up", weight: 20.0 };
+    let instance = Instance {
+        id: "s-1".into(),
+        addr: house,
+        kind: "print-house",
+        cell: 7,
+        lifecycle: "up",
+        weight: 20.0,
+    };
     let platform = Platform::start(record, vec![instance]);
     let gumleaf = MailServer::start(record, "gumleaf's server");
     let sender = MailServer::start(record, "the sender's server");
@@ -65,7 +71,12 @@
         return NOT_RUN;
     }
     let order = Message {
-        id: "order-1", class: "print-order", tenant: "tallowood", dest: 7, deadline_ms: 20_000, key: "key-1"
+        id: "order-1",
+        class: "print-order",
+        tenant: "tallowood",
+        dest: 7,
+        deadline_ms: 20_000,
+        key: "key-1",
     };
     let taken = hand_in(record, listen, &order);
     let taken_at = Instant::now();
@@ -103,7 +114,11 @@
             exit.map_or("runs".to_owned(), |status| format!("ended by itself ({status})")),
         )),
     }
-    if told && exit.is_none() { HELD } else { BROKEN }
+    if told && exit.is_none() {
+        HELD
+    } else {
+        BROKEN
+    }
 }
 
 fn main() {
