JSON from outside that is nested too deeply is refused and ends no process

Cause: simd_json's serde decoder calls itself once for each level without a bound, on a thread with 192 KiB of stack. Evidence: "thread ... has overflowed its stack" for a batch's answer, for a list of discovery with the nesting in a field that nothing reads, and for the static file that is read while the process serves. Ruled out: httparse, postcard and hickory's text parser, which do not recurse; serde_json stops at 128 levels.

src/json.rs counts the nesting before anything is decoded, and every decoder of JSON from outside goes through it. Limit: 32 levels; beyond it the document counts as unreadable (members of a batch may have run). Cost: one more pass over the bytes.

--- a/src/admin/overrides.rs
+++ b/src/admin/overrides.rs
@@ -1,6 +1,7 @@
 //! The endpoints that operators have excluded. The admin server changes the set and the core reads it. Each change is
 //! written to the state folder before it is confirmed; then a version number is raised, by which the core notices it.
 
+use crate::json;
 use crate::register::exclusions::{ExcludedEndpoints, ExclusionError, ListedNames, MAX_EXCLUDED_BYTES};
 use crate::store::checksummed_file::ChecksummedFile;
 use std::path::{Path, PathBuf};
@@ -29,7 +30,7 @@
 }
 
 fn read_body(body: &[u8]) -> Result<ExcludedEndpoints, String> {
-    let names: Vec<String> = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let names: Vec<String> = json::from_slice(body).map_err(|e| e.to_string())?;
     Ok(ExcludedEndpoints::from_names(names))
 }
 
--- a/src/checked.rs
+++ b/src/checked.rs
@@ -16,6 +16,7 @@
 //! ]);
 //! ```
 
+use crate::json;
 use serde_json::{Map, Value};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -114,7 +115,7 @@
 /// Reads a file by the settings that `read_settings` requests. A setting that it doesn't request is a fault too.
 pub fn read<T>(bytes: &[u8], read_settings: impl FnOnce(&ObjectReader) -> T) -> Result<T, Vec<Fault>> {
     let fault = |what: String| vec![Fault { path: String::new(), what }];
-    let value: Value = serde_json::from_slice(bytes).map_err(|e| fault(e.to_string()))?;
+    let value: Value = json::from_slice(bytes).map_err(|e| fault(e.to_string()))?;
     let Value::Object(fields) = &value else { return Err(fault("it must be an object".into())) };
     let faults = RefCell::new(Vec::new());
     let requested = RefCell::default();
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -6,6 +6,7 @@
 use crate::control::config as control;
 use crate::daemon;
 use crate::history::config as history;
+use crate::json;
 use crate::net::{mail, peers};
 use crate::register::config as register;
 use crate::register::list::{DiscoveryList, Instance, KindAndZoneNames};
@@ -64,7 +65,7 @@
     let mut kinds_and_zones = KindAndZoneNames::default();
     let fields: Map<String, Value> = match std::fs::read(path)
         .map_err(|e| e.to_string())
-        .and_then(|bytes| serde_json::from_slice(&bytes).map_err(|e| e.to_string()))
+        .and_then(|bytes| json::from_slice(&bytes).map_err(|e| e.to_string()))
     {
         Ok(fields) => fields,
         Err(e) => {
@@ -185,7 +186,7 @@
     let in_file = |e: String| format!("{}: {e}", path.display());
     let value: Value = match std::fs::read(path)
         .map_err(|e| e.to_string())
-        .and_then(|bytes| serde_json::from_slice(&bytes).map_err(|e| e.to_string()))
+        .and_then(|bytes| json::from_slice(&bytes).map_err(|e| e.to_string()))
     {
         Ok(value) => value,
         Err(e) => return (None, vec![in_file(e)]),
--- a/src/comeback/memory.rs
+++ b/src/comeback/memory.rs
@@ -12,6 +12,7 @@
 //! them, and all instances would be slowed down.
 
 use crate::api::{Micros, Outage};
+use crate::json;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
@@ -116,7 +117,7 @@
 
     /// Decodes the memory from JSON.
     pub fn from_bytes(bytes: &[u8]) -> Result<Memory, String> {
-        serde_json::from_slice(bytes).map_err(|e| e.to_string())
+        json::from_slice(bytes).map_err(|e| e.to_string())
     }
 
     /// Returns the waits that apply to a process run that starts now.
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 //! changed, so that a variable would undo the move at the next start.
 
 use crate::api::PeerId;
+use crate::json;
 use crate::register::list::DiscoveryList;
 use crate::settings::Document;
 use serde::Deserialize;
@@ -171,7 +172,7 @@
         let path = self.config.as_ref().ok_or_else(|| "NODE_CONFIG: not set".to_owned())?;
         let fail = |e: &dyn std::fmt::Display| format!("NODE_CONFIG: {}: {e}", path.display());
         let mut bytes = std::fs::read(path).map_err(|e| fail(&e))?;
-        let file: File = simd_json::serde::from_slice(&mut bytes).map_err(|e| fail(&e))?;
+        let file: File = json::from_mut_slice(&mut bytes).map_err(|e| fail(&e))?;
         let seed = seed(&file.seed).map_err(|e| fail(&e))?;
         let peers =
             peer_addresses(&file.peer_listen, &file.peers, &file.peers_all, &file.name, file.settings.me())
--- a/src/control/fleet_query.rs
+++ b/src/control/fleet_query.rs
@@ -3,6 +3,7 @@
 use super::schema::Problem;
 use crate::api::Micros;
 use crate::core::Clock;
+use crate::json;
 use crate::net::ask::shape::{kind, AnswerShape};
 use crate::net::ask::Asker;
 use crossbeam_channel::bounded;
@@ -26,7 +27,7 @@
 pub(super) fn ask(fleet: Option<&Asker>, clock: &Clock, body: &[u8]) -> Result<AnswerShape, Problem> {
     let refuse = |detail: String| Problem::new("question", 422, "the question can't be asked so", detail);
     let fleet = fleet.ok_or_else(|| Problem::new("path", 404, "no such path", "questions are off"))?;
-    let query: FleetQuery = serde_json::from_slice(body).map_err(|e| refuse(e.to_string()))?;
+    let query: FleetQuery = json::from_slice(body).map_err(|e| refuse(e.to_string()))?;
     let kind = kind(&query.kind).ok_or_else(|| refuse(format!("{:?} is no kind", query.kind)))?;
     if query.subject.chars().any(char::is_control) || query.subject.len() > 512 {
         return Err(refuse("the subject is no plain text".into()));
--- a/src/control/replay.rs
+++ b/src/control/replay.rs
@@ -9,6 +9,7 @@
 use crate::history::keeper::Keeper;
 use crate::history::orders::Refused;
 use crate::history::replay::Order;
+use crate::json;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -213,7 +214,7 @@
 
 fn parse_order(names: &SettingsNames, body: &[u8]) -> Result<Order, Problem> {
     let refused = |detail: String| Problem::new("order", 422, "the order can't be given as it is", detail);
-    let request: ReplayRequest = serde_json::from_slice(body).map_err(|e| refused(e.to_string()))?;
+    let request: ReplayRequest = json::from_slice(body).map_err(|e| refused(e.to_string()))?;
     let tenant = names.tenants.iter().position(|n| *n == request.tenant);
     let tenant =
         tenant.ok_or_else(|| refused(format!("tenant: {:?} is none of the settings", request.tenant)))?;
--- a/src/control/retention.rs
+++ b/src/control/retention.rs
@@ -7,6 +7,7 @@
 use crate::history::hearing::Honoured;
 use crate::history::keeper::Keeper;
 use crate::history::retention::{Entry, Refusal, Scope, Word, ANY, LONGEST};
+use crate::json;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -133,7 +134,7 @@
 ) -> Result<(u16, serde_json::Value), Problem> {
     let order = match (method, parts) {
         ("GET", []) => None,
-        ("POST", []) => Some(serde_json::from_slice(body).map_err(|e| refused(e.to_string()))?),
+        ("POST", []) => Some(json::from_slice(body).map_err(|e| refused(e.to_string()))?),
         (_, []) => return Err(Problem::new("method", 405, "not with this method", method)),
         _ => return Err(Problem::new("path", 404, "no such path", parts.join("/"))),
     };
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -8,6 +8,7 @@
 use crate::core::draining::Progress;
 use crate::core::Courier;
 use crate::drain::Refusal;
+use crate::json;
 use crate::net::acceptor::AcceptorHandle;
 use crate::net::ask::Asker;
 use crate::net::errors::{accept_fault, AcceptFault};
@@ -237,7 +238,7 @@
     fn start_drain(&self, body: &[u8]) -> Result<(u16, serde_json::Value), Problem> {
         let malformed =
             |detail: String| Problem::new("wish", 422, "the wish can't be granted as it is", detail);
-        let drain: NewDrain = serde_json::from_slice(body).map_err(|e| malformed(e.to_string()))?;
+        let drain: NewDrain = json::from_slice(body).map_err(|e| malformed(e.to_string()))?;
         let request = self.names.resolve_drain(drain, self.courier.clock.now()).map_err(malformed)?;
         let (started, progress) = self.courier.drain_start(request)?;
         ok_json(if started.updated { 200 } else { 201 }, &self.drain_status(&progress))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod daemon;
 pub mod drain;
 pub mod history;
+pub mod json;
 pub mod log;
 pub mod net;
 pub mod peers;
--- a/src/net/ask/link.rs
+++ b/src/net/ask/link.rs
@@ -1,6 +1,7 @@
 //! One connection to another courier's door: a line goes out, lines come back. It waits for nothing.
 
 use super::shape::{plain, PieceShape, PART_BYTES};
+use crate::json;
 use mio::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
 
@@ -117,7 +118,7 @@
         if let Some(words) = line.strip_prefix(b"400 ") {
             return Said::Refused(plain(&String::from_utf8_lossy(words), WORDS));
         }
-        match serde_json::from_slice(line) {
+        match json::from_slice(line) {
             Ok(piece) => Said::Piece(piece, line.len()),
             Err(e) => Said::Rubbish(plain(&format!("the answer can't be read: {e}"), WORDS)),
         }
--- a/src/net/mail/config.rs
+++ b/src/net/mail/config.rs
@@ -2,6 +2,7 @@
 
 use super::dns::zone;
 use crate::api::{Class, Effect, Micros, Settings};
+use crate::json;
 use crate::settings::NetworkSettings;
 use hickory_proto::rr::Name;
 use serde::Deserialize;
@@ -126,7 +127,7 @@
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
         other => other.map_err(|e| format!("{place}: {e}"))?,
     };
-    let file: File = simd_json::serde::from_slice(&mut bytes).map_err(|e| format!("{place}: {e}"))?;
+    let file: File = json::from_mut_slice(&mut bytes).map_err(|e| format!("{place}: {e}"))?;
     if !file.enabled {
         return Ok(None);
     }
--- a/src/net/platform/batch.rs
+++ b/src/net/platform/batch.rs
@@ -6,6 +6,7 @@
 use super::Platform;
 use crate::api::Micros;
 use crate::core::{End, Fetch};
+use crate::json;
 use crate::net::pool::{PooledBuffer, MAX_BODY_BYTES};
 use crate::net::{conn, errors};
 use base64::engine::general_purpose::STANDARD;
@@ -245,7 +246,7 @@
     pub fn parse(head: &ResponseHead, bytes: &[u8]) -> MemberStates {
         let mut states = MemberStates { by_id: HashMap::new(), retry_after: head.retry_after };
         let Some(mut body) = head.decoded_body(bytes) else { return states };
-        let Ok(items) = simd_json::serde::from_slice::<Vec<serde_json::Value>>(&mut body) else {
+        let Ok(items) = json::from_mut_slice::<Vec<serde_json::Value>>(&mut body) else {
             return states;
         };
         for item in items {
--- a/src/register/kept_copy.rs
+++ b/src/register/kept_copy.rs
@@ -4,6 +4,7 @@
 use super::list::{DiscoveryList, Instance};
 use super::EndpointRecord;
 use crate::api::Micros;
+use crate::json;
 use crate::store::checksummed_file::ChecksummedFile;
 use serde::{Deserialize, Serialize};
 use std::io;
@@ -47,7 +48,7 @@
 }
 
 fn read_body(body: &[u8]) -> Result<KeptList, String> {
-    serde_json::from_slice(body).map_err(|e| format!("damaged: {e}"))
+    json::from_slice(body).map_err(|e| format!("damaged: {e}"))
 }
 
 /// Decodes the content of the file; the error is the reason why it cannot be used.
--- a/src/register/list.rs
+++ b/src/register/list.rs
@@ -4,6 +4,7 @@
 use super::exclusions::MAX_NAME_BYTES;
 use super::{EndpointRecord, EndpointState, ListUpdate, Source};
 use crate::api::Micros;
+use crate::json;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::HashSet;
@@ -68,10 +69,10 @@
     /// Parses a list. It is parsed entry by entry, which is slow, only if it cannot be parsed as a whole.
     pub fn parse(bytes: &[u8]) -> Result<ParsedList, String> {
         let mut copy = bytes.to_vec();
-        if let Ok(list) = simd_json::serde::from_slice::<DiscoveryList>(&mut copy) {
+        if let Ok(list) = json::from_mut_slice::<DiscoveryList>(&mut copy) {
             return Ok(ParsedList { list, unreadable: Vec::new() });
         }
-        let mut value: Value = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+        let mut value: Value = json::from_slice(bytes).map_err(|e| e.to_string())?;
         let entries = match value.get_mut("instances").map(Value::take) {
             None | Some(Value::Null) => Vec::new(),
             Some(Value::Array(entries)) => entries,
--- a/src/upgrade/frame.rs
+++ b/src/upgrade/frame.rs
@@ -4,6 +4,7 @@
 //! error.
 
 use crate::core::handover::{CompletedCall, HandoverState};
+use crate::json;
 use crate::net::acceptor::ExportedConnection;
 use crate::net::conn;
 use rustix::net::{
@@ -115,7 +116,7 @@
             n => body.extend_from_slice(&buf[..n]),
         }
     }
-    let frame = serde_json::from_slice(&body).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+    let frame = json::from_slice(&body).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
     Ok((frame, fds))
 }
 
