A start whose zone file is bad goes by the last good version

Cause: a zone was kept in the state folder only once a dynamic update had changed it; a version that reload took from the file was used and not kept.

Each version that is taken from a file is written to zones/NAME.zone before it is used, marked as a copy that stands in for a bad file only; a sound file goes before it as it did. Limit: 64 KiB a zone in the room set aside before; a version that can't be written is not used until it can; a zone that was never kept and whose file is bad is refused as before. Cost: one write for each new version and each start. Kept zones go by name now, as an older list of zones gave one zone's copy to another's place. The line of a bad record is found by halving in place of one parse for each record.

--- a/src/net/mail/dns/server.rs
+++ b/src/net/mail/dns/server.rs
@@ -1,24 +1,21 @@
 //! The zones in use: loaded from their files, changed by updates over UDP and TCP, kept in the folder that lasts.
 
+use super::kept_zone::{read_file, KeepError, KeptZone, Origin, MAX_ZONE_BYTES};
 use super::update;
 use super::zone::{MailBackend, Zone};
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::{DNSClass, Name, Record, RecordType};
 use std::fs;
-use std::io;
 use std::net::{IpAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::SystemTime;
 
-/// The largest zone that is kept, and the room that all zones take in the folder that lasts, files being replaced
-/// counted.
-const ZONE_MOST: usize = 64 * 1024;
-
 struct Kept {
     zone: Zone,
     file: PathBuf,
-    saved: PathBuf,
+    kept_zone: KeptZone,
+    /// Modification time of the file when it was last read.
     modified: Option<SystemTime>,
 }
 
@@ -32,7 +29,7 @@
 
 /// Bytes to set aside for so many zones in the folder that lasts.
 pub fn room(zones: usize) -> u64 {
-    (zones as u64 + 1) * ZONE_MOST as u64
+    (zones as u64 + 1) * MAX_ZONE_BYTES as u64
 }
 
 fn later(a: u32, b: u32) -> bool {
@@ -40,28 +37,23 @@
 }
 
 impl Zones {
-    /// Loads each zone from its file, or from what updates have made of it if that is later. At the start there
-    /// is no last good list, so a bad file is an error here.
+    /// Loads each zone from its file, or from what is kept of it: what updates have made of it if that is later, and the last
+    /// good version of its file if that cannot be read now. A bad file of a zone that was never kept is an error.
     pub fn open(
         files: &[(Name, PathBuf)], state: &Path, sources: Vec<IpAddr>, changed: Box<dyn Fn() + Send + Sync>,
     ) -> Result<Zones, String> {
         let dir = state.join("zones");
-        fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        if let Err(e) = fs::create_dir_all(&dir) {
+            tracing::error!(target: "zones", "{}: {e}; no zone can be kept", dir.display());
+        }
         let mut kept = Vec::new();
-        for (n, (origin, file)) in files.iter().enumerate() {
-            let saved = dir.join(format!("{n}.zone"));
-            let from_file = read(file, origin);
-            let from_saved = if saved.exists() { read(&saved, origin).ok() } else { None };
-            let zone = match (from_file, from_saved) {
-                (Ok(zone), Some(saved)) if !later(zone.serial(), saved.serial()) => saved,
-                (Ok(zone), _) => zone,
-                (Err(e), Some(saved)) => {
-                    tracing::warn!(target: "zones", "{e}; the zone as it was kept stays in use");
-                    saved
-                }
-                (Err(e), None) => return Err(e),
-            };
-            kept.push(Kept { zone, file: file.clone(), saved, modified: modified(file) });
+        for (position, (origin, file)) in files.iter().enumerate() {
+            let kept_zone = KeptZone::new(&dir, origin);
+            kept_zone.adopt(&dir, position, origin);
+            // The time is taken first: a file that changes while it is read is read again.
+            let modified = modified(file);
+            let zone = open_zone(file, origin, &kept_zone)?;
+            kept.push(Kept { zone, file: file.clone(), kept_zone, modified });
         }
         Ok(Zones { kept: Mutex::new(kept), sources, changed })
     }
@@ -87,9 +79,17 @@
             if now == kept.modified {
                 continue;
             }
-            kept.modified = now;
-            match read(&kept.file, &kept.zone.origin) {
-                Ok(zone) if later(zone.serial(), kept.zone.serial()) => {
+            match read_file(&kept.file, &kept.zone.origin) {
+                Ok((zone, text)) if later(zone.serial(), kept.zone.serial()) => {
+                    // It is kept before it is used, so that the next process knows it even if the file is bad by then.
+                    match kept.kept_zone.write_copy(&zone, &text) {
+                        Ok(()) => {}
+                        Err(e @ KeepError::NotReadBack) => log_not_kept(&kept.file, &e),
+                        Err(e) => {
+                            tracing::error!(target: "zones", "{e}; the new zone is not used yet");
+                            continue;
+                        }
+                    }
                     kept.zone = zone;
                     changed = true;
                 }
@@ -98,6 +98,7 @@
                 }
                 Err(e) => tracing::warn!(target: "zones", "{e}; the last good list stays in use"),
             }
+            kept.modified = now;
         }
         if changed {
             (self.changed)();
@@ -141,12 +142,8 @@
         let kept = all.iter_mut().find(|k| k.zone.origin == origin).ok_or(ResponseCode::NotAuth)?;
         let Some(new) = update::apply(&kept.zone, question)? else { return Ok(()) };
         // It lasts before it is answered; what can't be read back is not taken.
-        let text = new.text();
-        if text.len() > ZONE_MOST || Zone::parse(&text, &kept.saved, &origin).as_ref() != Ok(&new) {
-            return Err(ResponseCode::ServFail);
-        }
-        save(&kept.saved, &text).map_err(|e| {
-            tracing::error!(target: "zones", "{}: {e}", kept.saved.display());
+        kept.kept_zone.write_updated(&new).map_err(|e| {
+            tracing::error!(target: "zones", "{e}");
             ResponseCode::ServFail
         })?;
         kept.zone = new;
@@ -200,21 +197,30 @@
     }
 }
 
-fn read(path: &Path, origin: &Name) -> Result<Zone, String> {
-    let text = fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    if text.len() > ZONE_MOST {
-        return Err(format!("{}:1: more than {ZONE_MOST} bytes", path.display()));
+/// The zone that a starting process uses.
+fn open_zone(file: &Path, origin: &Name, kept_zone: &KeptZone) -> Result<Zone, String> {
+    let (zone, text) = match (read_file(file, origin), kept_zone.read(origin)) {
+        (Ok((zone, _)), Some((kept, Origin::Updates))) if !later(zone.serial(), kept.serial()) => {
+            return Ok(kept)
+        }
+        (Ok(read), _) => read,
+        (Err(e), Some((kept, _))) => {
+            tracing::warn!(target: "zones", "{e}; the zone as it was kept stays in use");
+            return Ok(kept);
+        }
+        (Err(e), None) => return Err(e),
+    };
+    // A start that can't keep it goes on all the same: only a later one with a bad file would need the copy.
+    if let Err(e) = kept_zone.write_copy(&zone, &text) {
+        log_not_kept(file, &e);
     }
-    Zone::parse(&text, path, origin)
+    Ok(zone)
 }
 
-fn modified(path: &Path) -> Option<SystemTime> {
-    fs::metadata(path).and_then(|m| m.modified()).ok()
+fn log_not_kept(file: &Path, e: &KeepError) {
+    tracing::error!(target: "zones", "{}: {e}; a start while the file is bad would not know this version", file.display());
 }
 
-/// Written beside the old file and then put in its place: a stop in between leaves the old one whole.
-fn save(path: &Path, text: &str) -> io::Result<()> {
-    let new = path.with_extension("new");
-    fs::write(&new, text)?;
-    fs::rename(new, path)
+fn modified(path: &Path) -> Option<SystemTime> {
+    fs::metadata(path).and_then(|m| m.modified()).ok()
 }
--- a/src/net/mail/dns/zone.rs
+++ b/src/net/mail/dns/zone.rs
@@ -66,14 +66,14 @@
         let sets = match parse(text) {
             Ok((_, sets)) => sets,
             Err(e) => {
-                // The parser names no line; the first record with which the text fails is the bad one.
+                // The parser names no line. The text up to the end of a record can be read unless the bad record is in it.
                 let starts = record_starts(text);
-                let ends = starts.iter().skip(1).map(|s| s.1).chain([text.len()]);
-                let bad = starts
-                    .iter()
-                    .zip(ends)
-                    .find_map(|(start, end)| parse(&text[..end]).err().map(|e| (start.0, e)));
-                let (line, e) = bad.unwrap_or((starts.last().map_or(1, |s| s.0), e));
+                let end_of = |index: usize| starts.get(index + 1).map_or(text.len(), |next| next.1);
+                let indices: Vec<usize> = (0..starts.len()).collect();
+                let bad = indices.partition_point(|index| parse(&text[..end_of(*index)]).is_ok());
+                let fault =
+                    starts.get(bad).and_then(|start| Some((start.0, parse(&text[..end_of(bad)]).err()?)));
+                let (line, e) = fault.unwrap_or((starts.last().map_or(1, |s| s.0), e));
                 return Err(format!("{}:{line}: {e}", path.display()));
             }
         };
