Changes of discovery's list are kept before they take effect

Cause: the list was kept as a whole, at the earliest 2 s after the write before, while changes took effect at once. Ruled out: the register's precedence (the copy is rightly used while discovery is silent), trust in remembered endpoints (it limits calls, not destinations), connections (the address had a new owner).

Each change is appended to register.changes before it takes effect; the copy says up to which change it goes. Limit: 32 KiB of changes between two copies; a change beyond it, or one that can't be written, marks the kept list as outdated until the whole list is written, which is tried at once, and a start that finds the mark uses neither the kept list nor an older one of the configuration.

--- a/src/cli/register.rs
+++ b/src/cli/register.rs
@@ -4,7 +4,8 @@
 use super::Register;
 use crate::config::Paths;
 use crate::register::config as register;
-use crate::register::kept_copy::{self, KeptList};
+use crate::register::kept_changes::{self, KeptListRead};
+use crate::register::kept_copy::KeptList;
 use crate::register::list::{DiscoveryList, KindAndZoneNames};
 use serde_json::json;
 use std::fs;
@@ -24,9 +25,9 @@
 /// Reads the kept list from the state folder.
 fn read_kept_list(paths: &Paths) -> Result<KeptList, String> {
     let dir = paths.state()?;
-    let (kept, errors) = kept_copy::read(&dir);
-    errors.iter().for_each(|error| eprintln!("indigohold: {error}"));
-    kept.ok_or_else(|| format!("no list is kept in {}", dir.display()))
+    let KeptListRead { list, warnings, .. } = kept_changes::read(&dir);
+    warnings.iter().for_each(|warning| eprintln!("indigohold: {warning}"));
+    list.ok_or_else(|| format!("no list is kept in {}", dir.display()))
 }
 
 fn show(paths: &Paths, as_json: bool) -> Result<String, String> {
--- a/src/core/backend_lists.rs
+++ b/src/core/backend_lists.rs
@@ -1,7 +1,7 @@
 //! Passes endpoint list changes from the register to the decision module and the fronts, maps backend names to endpoint
 //! ids, and applies administrative overrides.
 
-use super::{returned_event, Backend, Core, EndpointState, Order, PLATFORM_FRONT};
+use super::{returned_event, Backend, Core, EndpointState, ListUpdate, Order, Source, PLATFORM_FRONT};
 use crate::api::{DestinationId, EndpointId, Entry, Event, ListingState, Micros, Outcome, ZoneId};
 use crate::register::trust::CallEnd;
 use crate::register::{EndpointChange, RegistryEffects};
@@ -50,6 +50,20 @@
         })
     }
 
+    /// Applies an update of a list. What discovery has changed is kept on disk before it takes effect.
+    pub(super) fn list_updated(&mut self, now: Micros, front: u8, update: ListUpdate) {
+        if let Some(overrides) = &self.overrides {
+            overrides.record_listed(update.records.iter().map(|line| line.name.as_str()));
+        }
+        // The decision module is notified of every answer of discovery, even if the list has not changed.
+        let discovery_event = (update.source == Source::Discovery).then(|| Event::ListChange(Vec::new()));
+        let effects = self.register.front_mut(front, now).apply_update(now, update);
+        if front == PLATFORM_FRONT {
+            self.keep_list_changes(&effects.list_changes);
+        }
+        self.apply_list_change(now, front, effects, discovery_event.into_iter().collect());
+    }
+
     /// Carries out the register's decisions and passes the resulting events to the decision module.
     pub(super) fn apply_list_change(
         &mut self, now: Micros, front: u8, news: RegistryEffects, more: Vec<Event>,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod handover;
 mod history_feed;
 mod journal_outage;
+mod kept_list;
 mod listed_kinds;
 pub mod memory;
 pub mod message_lookup;
@@ -30,6 +31,7 @@
 pub use crate::clock::Clock;
 use crate::comeback::memory::Waits;
 use crate::history::keeper::Keeper;
+use crate::register::kept_changes::ChangeLog;
 use crate::register::{Registry, RegistryEffects, RegistryRules};
 use crate::store::{EndKind, Journal};
 pub use crate::store::{FinalOutcome, Req};
@@ -63,6 +65,8 @@
     pub overrides: Option<Arc<EndpointOverrides>>,
     /// State handed over by the process that served before this one.
     pub handed_over: Option<HandoverState>,
+    /// Change log of the platform's endpoint list. If `None`, changes are kept with the whole list only.
+    pub list_changes: Option<ChangeLog>,
     /// Folder for the state that the next process run needs. If `None`, that state is not stored.
     pub memory_dir: Option<PathBuf>,
     /// Whether the outcomes of ended messages are kept for lookups.
@@ -117,6 +121,7 @@
     removed_backends: VecDeque<(Micros, u8, Arc<Backend>)>,
     /// The listed backends, the source of each and how far each is trusted.
     register: Registry,
+    list_changes: Option<ChangeLog>,
     batches: Batches,
     listed_kinds: ListedKinds,
     /// Fetches that wait for their turn at a backend that is not fully trusted, with their timeouts.
@@ -196,6 +201,7 @@
             next_endpoint_number: 1,
             removed_backends: VecDeque::new(),
             register: Registry::new(options.register, seed),
+            list_changes: options.list_changes,
             batches,
             listed_kinds: ListedKinds::new(settings),
             waiting_fetches: BTreeMap::new(),
@@ -340,16 +346,7 @@
                 self.finish_message(now, msg, ended, how, None);
                 self.queue_ended_messages();
             }
-            Report::List { front, update } => {
-                if let Some(overrides) = &self.overrides {
-                    overrides.record_listed(update.records.iter().map(|line| line.name.as_str()));
-                }
-                // The decision module is notified of every answer of discovery, even if the list has not changed.
-                let discovery_event =
-                    (update.source == Source::Discovery).then(|| Event::ListChange(Vec::new()));
-                let effects = self.register.front_mut(front, now).apply_update(now, update);
-                self.apply_list_change(now, front, effects, discovery_event.into_iter().collect());
-            }
+            Report::List { front, update } => self.list_updated(now, front, update),
             Report::ListUnchanged(front) => {
                 let effects = self.register.front_mut(front, now).heartbeat(now);
                 if effects != RegistryEffects::default() {
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -5,7 +5,6 @@
 use crate::api::{Micros, Settings};
 use crate::clock::Clock;
 use crate::history::shelf::Shelf;
-use crate::register::kept_copy::ListSnapshot;
 use crate::register::phase::Phase;
 use crate::shared::sharing::Exchange;
 use crate::store::Journal;
@@ -226,10 +225,4 @@
     pub fn edition(&self, front: u8) -> Option<(u64, Micros)> {
         self.state().register.front(front)?.revision()
     }
-
-    /// A front's list as it is to be stored on disk, and the bytes that the journal occupies beside it.
-    pub fn list_to_store(&self, front: u8) -> Option<(ListSnapshot, u64)> {
-        let state = self.state();
-        Some((state.register.front(front)?.snapshot()?, state.journal.disk_bytes()))
-    }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,7 +15,8 @@
 use crate::net::{self, mail, platform};
 use crate::register::address_rotation::AddressRotation;
 use crate::register::config as register_config;
-use crate::register::kept_copy::{self, KeptCopyRules, KeptCopyWriter};
+use crate::register::kept_changes;
+use crate::register::kept_copy::{KeptCopyRules, KeptCopyWriter};
 use crate::register::list::ParsedList;
 use crate::register::static_file::StaticFile;
 use crate::store::{owner, Journal, StartMode};
@@ -26,7 +27,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 pub(crate) use steps::classes_of;
-use steps::{keep_list, log_damages, name_positions, read_file, reload, sharing_setup};
+use steps::{
+    keep_list, log_damages, name_positions, read_file, read_kept_list, reload, report_kept_list,
+    sharing_setup,
+};
 
 /// Time from SIGTERM until client connections are closed.
 const CLOSE_DELAY: Duration = Duration::from_millis(3_100);
@@ -63,7 +67,7 @@
     let state = paths.state()?;
     let discovery = config.discovery();
     let admin_addr = config.admin_addr()?;
-    let (known_list, peers_at) = (config.known_list, config.peers);
+    let (mut known_list, peers_at) = (config.known_list, config.peers);
     let (mut settings, names) = config.settings.split()?;
     let mail_config = mail::config::read(&paths.mail, &mut settings, &names)?;
     let register = read_file(&paths.register, register_config::read)?;
@@ -94,7 +98,8 @@
         disk_bytes: register.kept_copy.disk_bytes.min(disk_bytes / KEPT_COPY_DISK_DIVISOR),
         ..register.kept_copy.clone()
     };
-    let copy_bytes = if copy_rules.enabled && config.listen.is_some() { copy_rules.disk_bytes } else { 0 };
+    let keeps_list = copy_rules.enabled && config.listen.is_some();
+    let copy_bytes = if keeps_list { copy_rules.disk_bytes + kept_changes::MAX_LOG_BYTES } else { 0 };
     let drain_bytes = if control.is_some() { draining::RESERVED_DISK_BYTES } else { 0 };
     let state_error = |e: &dyn std::fmt::Display| format!("NODE_STATE: {}: {e}", state.display());
     let override_bytes = if admin_addr.is_some() { admin_overrides::MAX_DISK_BYTES } else { 0 };
@@ -145,7 +150,9 @@
         let time = Box::new(move || clock.now());
         history::keeper::Keeper::open(&state, history, owner.claim.incarnation, members, clock.now(), time)
     });
+    let (kept_list, list_changes) = read_kept_list(&state, keeps_list, &mut known_list);
     let options = Options {
+        list_changes,
         overrides: Some(overrides.clone()),
         handed_over,
         register: register.rules.clone(),
@@ -180,14 +187,8 @@
         // The list in the configuration counts as a full list even if it is marked otherwise.
         report(ListUpdate { is_full_list: true, ..list.into_update(Source::Configured, now) });
         if copy_rules.enabled {
-            let (copy, warnings) = kept_copy::read(&state);
-            warnings.iter().for_each(|warning| tracing::warn!(target: "register", "{warning}"));
-            if let Some(copy) = copy {
-                // The age of a copy with a time in the future is unknown, so it gets the greatest age that is still trusted.
-                let from_future = copy.confirmed_at() > now;
-                let as_of = if from_future { now - register.rules.max_copy_age } else { copy.confirmed_at() };
-                let list = ParsedList { list: copy.list, unreadable: Vec::new() };
-                report(ListUpdate { is_full_list: true, ..list.into_update(Source::KeptCopy, as_of) });
+            if let Some(kept) = kept_list {
+                report_kept_list(&courier, kept, register.rules.max_copy_age);
             }
             copy_writer = Some(KeptCopyWriter::new(&state, copy_rules));
         }
@@ -383,6 +384,7 @@
                     + override_bytes
                     + memory::MAX_FOLDER_BYTES
                     + anchor::DISK_BYTES
+                    + kept_changes::MAX_LOG_BYTES
                     + history_bytes;
                 keep_list(&courier, writer, disk_bytes.saturating_sub(other_bytes));
             }
--- a/src/daemon/steps.rs
+++ b/src/daemon/steps.rs
@@ -5,12 +5,14 @@
 use crate::ask;
 use crate::checked::Fault;
 use crate::config::{Paths, PeerAddresses};
-use crate::core::Courier;
+use crate::core::{Courier, ListUpdate, Report, Source};
 use crate::net::peers::config::Sharing;
 use crate::net::peers::control::Shared;
 use crate::net::peers::riders::{self, Place};
 use crate::net::{mail, platform};
-use crate::register::kept_copy::KeptCopyWriter;
+use crate::register::kept_changes::{self, ChangeLog, KeptListRead};
+use crate::register::kept_copy::{KeptCopyWriter, KeptList, NotWritten};
+use crate::register::list::{DiscoveryList, ParsedList};
 use crate::settings::NetworkSettings;
 use crate::store::{Journal, PositionNames};
 use std::path::Path;
@@ -101,15 +103,53 @@
 /// Writes the kept copy of the list if that is due. Only then is the list copied under the core's lock.
 pub(super) fn keep_list(courier: &Courier, writer: &mut KeptCopyWriter, disk_bytes: u64) {
     let now = courier.clock.now();
-    let due = courier
+    let is_due = courier
         .edition(platform::FRONT)
         .is_some_and(|(number, confirmed)| writer.due(now, number, confirmed));
-    let Some((edition, journal_bytes)) = due.then(|| courier.list_to_store(platform::FRONT)).flatten() else {
+    let is_overdue = writer.may_write_early() && courier.list_copy_overdue();
+    if !is_due && !is_overdue {
         return;
-    };
-    if let Some(warning) = writer.write(now, &edition, disk_bytes.saturating_sub(journal_bytes)) {
-        tracing::warn!(target: "register", "{warning}");
     }
+    let Some(list) = courier.list_to_store() else { return };
+    let free = disk_bytes.saturating_sub(list.journal_bytes);
+    match writer.write(now, &list.snapshot, list.sequence, free) {
+        Ok(()) => courier.list_copy_written(list.sequence),
+        Err(NotWritten { log_line: Some(line) }) => tracing::warn!(target: "register", "{line}"),
+        Err(NotWritten { log_line: None }) => {}
+    }
+}
+
+/// Reads what is kept of discovery's list. A known list of the configuration that is older than a list that is known to be
+/// outdated is emptied.
+pub(super) fn read_kept_list(
+    state: &Path, enabled: bool, known: &mut DiscoveryList,
+) -> (Option<KeptList>, Option<ChangeLog>) {
+    if !enabled {
+        return (None, None);
+    }
+    let KeptListRead { list, outdated, log, warnings } = kept_changes::read(state);
+    warnings.iter().for_each(|warning| tracing::warn!(target: "register", "{warning}"));
+    if let Some(generation) = outdated {
+        tracing::warn!(
+            target: "register",
+            "the kept list is passed over: a change up to version {generation} could not be kept"
+        );
+        if known.generation < generation {
+            *known = DiscoveryList::default();
+        }
+    }
+    (list, Some(log))
+}
+
+/// Reports the kept list to the core.
+pub(super) fn report_kept_list(courier: &Courier, kept: KeptList, max_copy_age: Micros) {
+    let now = courier.clock.now();
+    // The age of a copy with a time in the future is unknown, so it gets the greatest age that is still trusted.
+    let from_future = kept.confirmed_at() > now;
+    let as_of = if from_future { now - max_copy_age } else { kept.confirmed_at() };
+    let list = ParsedList { list: kept.list, unreadable: Vec::new() };
+    let update = ListUpdate { is_full_list: true, ..list.into_update(Source::KeptCopy, as_of) };
+    courier.report(Report::List { front: platform::FRONT, update });
 }
 
 /// Applies the configuration again, on SIGHUP. The whole file is read before any of it is applied.
--- a/src/register/kept_copy.rs
+++ b/src/register/kept_copy.rs
@@ -24,12 +24,16 @@
 const MAX_RETRY_DOUBLINGS: u32 = 16;
 
 /// A list as it is stored, and when it was last confirmed.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(rename = "Kept")] // the name in parse errors
 pub struct KeptList {
     /// When discovery last confirmed the list, in milliseconds since 1970.
     #[serde(rename = "heard_ms")]
     pub confirmed_ms: u64,
+    /// Number of the last change that the list has, as the [change log](super::kept_changes) counts them. Earlier versions write
+    /// none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sequence: Option<u64>,
     /// The list.
     pub list: DiscoveryList,
 }
@@ -123,6 +127,11 @@
         now >= self.next_write && (changed || aged)
     }
 
+    /// Whether the last write failed.
+    pub fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Records a successful write. The pause that follows keeps to the limit on bytes per minute.
     pub fn record_write(
         &mut self, now: Micros, revision: u64, confirmed_at: Micros, bytes: u64, rules: &KeptCopyRules,
@@ -158,6 +167,13 @@
     pub records: Vec<EndpointRecord>,
 }
 
+/// The list was not written.
+#[derive(Debug, PartialEq)]
+pub struct NotWritten {
+    /// Why, for the operators' log; `None`: it was logged before.
+    pub log_line: Option<String>,
+}
+
 /// Writes the copy in one folder.
 pub struct KeptCopyWriter {
     dir: PathBuf,
@@ -178,23 +194,31 @@
         self.rules.enabled && self.schedule.due(now, revision, confirmed_at, &self.rules)
     }
 
-    /// Writes a list. `free`: bytes in the folder that the journal does not take. Returns a line for the log if the
-    /// list was not written.
-    pub fn write(&mut self, now: Micros, snapshot: &ListSnapshot, free: u64) -> Option<String> {
+    /// Whether the list must be written although it is too soon, because a change of it could not be kept. After a failed write
+    /// the pause is kept all the same.
+    pub fn may_write_early(&self) -> bool {
+        self.rules.enabled && !self.schedule.has_failed()
+    }
+
+    /// Writes a list that has all changes up to the number `sequence`. `free`: bytes in the folder that the journal does not
+    /// take.
+    pub fn write(
+        &mut self, now: Micros, snapshot: &ListSnapshot, sequence: u64, free: u64,
+    ) -> Result<(), NotWritten> {
         let instances = snapshot.records.iter().map(Instance::from_record).collect();
         let list = DiscoveryList { generation: snapshot.generation, reset: true, instances };
-        let bytes = encode(&KeptList { confirmed_ms: snapshot.confirmed_at.0 / 1000, list });
+        let confirmed_ms = snapshot.confirmed_at.0 / 1000;
+        let bytes = encode(&KeptList { confirmed_ms, sequence: Some(sequence), list });
         let length = bytes.len() as u64;
         if length > self.rules.max_copy_bytes() || KeptCopyRules::bytes_on_disk(length) > free {
             self.schedule.record_failure(now, &self.rules);
             let first = !std::mem::replace(&mut self.too_long, true);
-            return first.then(|| {
-                format!(
-                    "the list of {} backends is not kept: {length} bytes, and {} are free for it",
-                    snapshot.records.len(),
-                    self.rules.max_copy_bytes().min(free / MAX_FILES)
-                )
-            });
+            let reason = format!(
+                "the list of {} backends is not kept: {length} bytes, and {} are free for it",
+                snapshot.records.len(),
+                self.rules.max_copy_bytes().min(free / MAX_FILES)
+            );
+            return Err(NotWritten { log_line: first.then_some(reason) });
         }
         self.too_long = false;
         match write(&self.dir, &bytes) {
@@ -206,11 +230,12 @@
                     length,
                     &self.rules,
                 );
-                None
+                Ok(())
             }
             Err(e) => {
                 self.schedule.record_failure(now, &self.rules);
-                Some(format!("the list could not be kept in {}: {e}", self.dir.display()))
+                let log_line = format!("the list could not be kept in {}: {e}", self.dir.display());
+                Err(NotWritten { log_line: Some(log_line) })
             }
         }
     }
--- a/src/register/list.rs
+++ b/src/register/list.rs
@@ -10,6 +10,9 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
+/// The lifecycle of an endpoint that is no longer listed.
+const REMOVED: &str = "removed";
+
 /// A full list, or the changes to one.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
 #[serde(rename = "List")] // the name in parse errors
@@ -133,6 +136,11 @@
 }
 
 impl Instance {
+    /// Whether the endpoint is no longer listed.
+    pub fn is_removed(&self) -> bool {
+        self.lifecycle == REMOVED
+    }
+
     /// Converts the entry to a record. `None` if its address, id or lifecycle is not valid.
     pub fn to_record(&self) -> Option<EndpointRecord> {
         self.to_record_sharing(&mut SharedNames::default())
@@ -148,7 +156,7 @@
             state: match self.lifecycle.as_str() {
                 "up" => EndpointState::Up,
                 "draining" => EndpointState::Draining,
-                "removed" => EndpointState::Gone,
+                REMOVED => EndpointState::Gone,
                 _ => return None,
             },
             weight: self.weight.filter(|w| w.is_finite()).unwrap_or(1.0),
@@ -168,7 +176,7 @@
             lifecycle: match record.state {
                 EndpointState::Up => "up",
                 EndpointState::Draining => "draining",
-                EndpointState::Gone => "removed",
+                EndpointState::Gone => REMOVED,
             }
             .to_owned(),
             weight: Some(record.weight),
--- a/src/register/types.rs
+++ b/src/register/types.rs
@@ -175,6 +175,8 @@
     pub reread_list: bool,
     /// Lines for the operators' log.
     pub log_lines: Vec<String>,
+    /// What an update of discovery has changed in its list, for the kept copy.
+    pub list_changes: Vec<EndpointRecord>,
 }
 
 /// The operators' rules for the registry; see [`config`](super::config).
--- a/src/register/updates.rs
+++ b/src/register/updates.rs
@@ -15,7 +15,12 @@
         let mut touched: HashSet<String> = HashSet::new();
         let (source, was_watching) = (update.source, self.watching);
         match source {
-            Source::Discovery => self.apply_discovery_update(now, update, &mut touched, &mut effects),
+            Source::Discovery => {
+                let before = self.records_before(&update);
+                let names: Vec<String> = update.records.iter().map(|record| record.name.clone()).collect();
+                self.apply_discovery_update(now, update, &mut touched, &mut effects);
+                effects.list_changes = self.records_changed_since(&before, &names);
+            }
             _ => {
                 self.apply_other_update(now, update, &mut touched);
                 self.record_destinations(now, source);
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -55,7 +55,7 @@
     );
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64;
     let list = read.unwrap().list;
-    let copy = KeptList { confirmed_ms: now / 1000 - age_s * 1000, list: list.clone() };
+    let copy = KeptList { confirmed_ms: now / 1000 - age_s * 1000, sequence: None, list: list.clone() };
     kept_copy::write(&folder.join("state"), &kept_copy::encode(&copy)).unwrap();
     list
 }
--- a/tests/kept.rs
+++ b/tests/kept.rs
@@ -1,6 +1,8 @@
 //! The kept copy under damage: every prefix, every flipped bit, a kill at every step of its replacement, a full disk.
 
-use indigohold::register::kept_copy::{self, KeptCopyRules, KeptCopyWriter, KeptList, ListSnapshot};
+use indigohold::register::kept_copy::{
+    self, KeptCopyRules, KeptCopyWriter, KeptList, ListSnapshot, NotWritten,
+};
 use indigohold::register::list::{DiscoveryList, Instance, ParsedList};
 use indigohold::register::{EndpointRecord, EndpointState};
 use indigohold::Micros;
@@ -22,7 +24,8 @@
 
 fn kept_list(generation: u64) -> KeptList {
     let instances = (0..3).map(|n| Instance::from_record(&record(n))).collect();
-    KeptList { confirmed_ms: 1_700_000_000_123, list: DiscoveryList { generation, reset: true, instances } }
+    let list = DiscoveryList { generation, reset: true, instances };
+    KeptList { confirmed_ms: 1_700_000_000_123, sequence: Some(generation), list }
 }
 
 /// Guards against zones that lose their names in a copy or a hand-over: those that the settings did not list had none.
@@ -129,19 +132,25 @@
     let rules = KeptCopyRules { min_interval: Micros(0), ..KeptCopyRules::default() };
     let mut writer = KeptCopyWriter::new(&dir, rules);
     let at = |n: u64| Micros(n * 1_000_000);
-    assert_eq!(writer.write(at(1), &snapshot(1, 3), 1 << 20), None);
-    let log_line = writer.write(at(2), &snapshot(2, 3), 1000).expect("a line for the log");
+    assert_eq!(writer.write(at(1), &snapshot(1, 3), 1, 1 << 20), Ok(()));
+    let log_line =
+        writer.write(at(2), &snapshot(2, 3), 2, 1000).unwrap_err().log_line.expect("a line for the log");
     assert!(log_line.contains("not kept"), "{log_line}");
-    assert_eq!(writer.write(at(5), &snapshot(3, 3), 1000), None, "logged once");
+    assert_eq!(
+        writer.write(at(5), &snapshot(3, 3), 3, 1000),
+        Err(NotWritten { log_line: None }),
+        "logged once"
+    );
     // The write itself fails: the copy before stays.
     fs::create_dir(dir.join("register.copy.new")).unwrap();
-    let log_line = writer.write(at(9), &snapshot(4, 3), 1 << 20).expect("a line for the log");
+    let log_line =
+        writer.write(at(9), &snapshot(4, 3), 4, 1 << 20).unwrap_err().log_line.expect("a line for the log");
     assert!(log_line.contains("could not be kept"), "{log_line}");
     assert!(!writer.due(at(9), 5, at(9)), "no write for a while after a failure");
     assert_eq!(kept_copy::read(&dir).0.unwrap().list.generation, 1);
     fs::remove_dir(dir.join("register.copy.new")).unwrap();
     assert!(writer.due(at(90), 5, at(9)));
-    assert_eq!(writer.write(at(90), &snapshot(5, 3), 1 << 20), None);
+    assert_eq!(writer.write(at(90), &snapshot(5, 3), 5, 1 << 20), Ok(()));
     assert_eq!(kept_copy::read(&dir).0.unwrap().list.generation, 5);
 }
 
@@ -151,7 +160,8 @@
     let dir = folder.path().to_owned();
     let rules = KeptCopyRules { disk_bytes: 12 * 1024, ..KeptCopyRules::default() };
     let mut writer = KeptCopyWriter::new(&dir, rules);
-    assert!(writer.write(Micros(0), &snapshot(1, 100), 1 << 30).unwrap().contains("100 backends"));
+    let refused = writer.write(Micros(0), &snapshot(1, 100), 1, 1 << 30).unwrap_err();
+    assert!(refused.log_line.unwrap().contains("100 backends"));
     assert_eq!(kept_copy::read(&dir), (None, Vec::new()));
 }
 
