A name that is listed for another destination is another endpoint

Causes, in one class (a name stood for name, address and destination): the decision module left an endpoint that was listed again for another destination in its old route, and the last look before a call's first byte compared the name alone, so a call ordered before its endpoint's address changed still went to the old one. Ruled out: idle connections (kept by name, address and zone), the register (it lists the right record), the kept list.

A name that is listed for another destination gets another id, and the endpoint before it is gone with its route and connections; the last look compares id, address and destination. No new limit; cost: a map look-up a call.

--- a/src/core/backend_lists.rs
+++ b/src/core/backend_lists.rs
@@ -1,8 +1,11 @@
 //! Passes endpoint list changes from the register to the decision module and the fronts, maps backend names to endpoint
 //! ids, and applies administrative overrides.
 
-use super::{returned_event, Backend, Core, EndpointState, ListUpdate, Order, Source, PLATFORM_FRONT};
-use crate::api::{DestinationId, EndpointId, Entry, Event, ListingState, Micros, Outcome, ZoneId};
+use super::{
+    returned_event, Backend, Core, EndpointRecord, EndpointState, Fetch, ListUpdate, Order, Source,
+    PLATFORM_FRONT,
+};
+use crate::api::{DestinationId, EndpointId, Entry, Event, KindId, ListingState, Micros, Outcome, ZoneId};
 use crate::register::trust::CallEnd;
 use crate::register::{EndpointChange, RegistryEffects};
 use std::collections::HashMap;
@@ -12,6 +15,14 @@
 const REMOVED_BACKEND_RETENTION: Micros = Micros(60_000_000);
 const MAX_REMOVED_BACKENDS: usize = 512;
 
+/// A backend that is no longer listed, or is listed for another destination.
+pub(super) struct RemovedBackend {
+    removed_at: Micros,
+    front: u8,
+    endpoint: EndpointId,
+    name: String,
+}
+
 impl Core {
     pub(super) fn update_member_counts(&mut self) {
         let (mut members, mut unavailable) = (0, 0);
@@ -80,7 +91,7 @@
         // Most endpoints share their zone with others.
         let mut zone_ids: HashMap<Arc<str>, Option<ZoneId>> = HashMap::new();
         for EndpointChange { record: line, ejected } in news.changes {
-            let key = (front, line.name.clone());
+            self.retire_if_reassigned(now, front, &line, &mut lines);
             let endpoint = self.endpoint_id(front, &line.name);
             let kind = self.listed_kinds.kind_of(&line);
             let zone = match zone_ids.get(&line.zone) {
@@ -102,9 +113,10 @@
                 rank: line.rank,
             });
             self.batches.set_kind(endpoint, kind);
-            let listed = Arc::new(Backend { name: key.1, addr: line.addr, zone });
+            let listed = Arc::new(Backend { name: line.name, addr: line.addr, zone, dest: line.dest });
             if line.state == EndpointState::Gone {
-                self.removed_backends.push_back((now, front, listed.clone()));
+                let name = listed.name.clone();
+                self.removed_backends.push_back(RemovedBackend { removed_at: now, front, endpoint, name });
             }
             // Idle connections to a backend that drains, was removed or changed its address are closed.
             let before = self.backends.insert(endpoint, listed.clone()).filter(|b| *b != listed);
@@ -133,23 +145,67 @@
         events
     }
 
+    /// If a backend is listed for another destination than before, the one before is gone: the decision module would otherwise
+    /// send it messages of both. The backend gets another id.
+    fn retire_if_reassigned(
+        &mut self, now: Micros, front: u8, line: &EndpointRecord, lines: &mut Vec<Entry>,
+    ) {
+        let key = (front, line.name.clone());
+        let Some(endpoint) = self.endpoint_ids.get(&key).copied() else { return };
+        let Some(before) = self.backends.get(&endpoint).filter(|before| before.dest != line.dest).cloned()
+        else {
+            return;
+        };
+        lines.push(Entry {
+            endpoint,
+            destination: DestinationId(before.dest),
+            kind: self.batches.kind(endpoint).unwrap_or(KindId::UNLISTED),
+            zone: before.zone,
+            state: ListingState::Gone,
+            weight: 0.0,
+            rank: 0,
+        });
+        self.order(Order::CloseIdle(before));
+        self.endpoint_ids.remove(&key);
+        self.removed_backends.push_back(RemovedBackend { removed_at: now, front, endpoint, name: key.1 });
+    }
+
+    /// Whether a call goes where its backend is listed now: another process may have its address, or another destination it.
+    pub(super) fn is_listed_as_ordered(&self, fetch: &Fetch) -> bool {
+        let (front, name) = (fetch.req.front, &fetch.backend.name);
+        let accepts_calls = self.register.front(front).is_some_and(|registry| registry.accepts_calls(name));
+        let is_current = self.endpoint_ids.get(&(front, name.clone())) == Some(&fetch.endpoint);
+        let listed = self.backends.get(&fetch.endpoint);
+        accepts_calls
+            && is_current
+            && listed.is_some_and(|now| now.addr == fetch.backend.addr && now.dest == fetch.req.dest)
+    }
+
     /// Forgets backends that were removed long ago. Where backends come and go all day, their names would otherwise fill
     /// the memory.
     pub(super) fn forget_removed_backends(&mut self, now: Micros) {
         let over = |s: &Core| {
             s.removed_backends.len() > MAX_REMOVED_BACKENDS
-                || s.removed_backends.front().is_some_and(|g| g.0 + REMOVED_BACKEND_RETENTION <= now)
+                || s.removed_backends
+                    .front()
+                    .is_some_and(|removed| removed.removed_at + REMOVED_BACKEND_RETENTION <= now)
         };
         while over(self) {
-            let Some((_, front, backend)) = self.removed_backends.pop_front() else { return };
-            let key = (front, backend.name.clone());
+            let Some(RemovedBackend { front, endpoint, name, .. }) = self.removed_backends.pop_front() else {
+                return;
+            };
+            let is_listed = self.register.front(front).is_some_and(|registry| registry.contains(&name));
+            let key = (front, name);
+            let is_current = self.endpoint_ids.get(&key) == Some(&endpoint);
             // A backend that is listed again is kept.
-            if !self.register.front(front).is_some_and(|b| b.contains(&key.1)) {
-                if let Some(endpoint) = self.endpoint_ids.remove(&key) {
-                    self.backends.remove(&endpoint);
-                    self.batches.remove_endpoint(endpoint);
-                }
+            if is_listed && is_current {
+                continue;
+            }
+            if is_current {
+                self.endpoint_ids.remove(&key);
             }
+            self.backends.remove(&endpoint);
+            self.batches.remove_endpoint(endpoint);
         }
     }
 }
--- a/src/core/batches.rs
+++ b/src/core/batches.rs
@@ -46,6 +46,11 @@
         self.kinds.insert(at, kind);
     }
 
+    /// The kind of a listed endpoint.
+    pub(super) fn kind(&self, at: EndpointId) -> Option<KindId> {
+        self.kinds.get(&at).copied()
+    }
+
     /// Forgets an endpoint.
     pub(super) fn remove_endpoint(&mut self, at: EndpointId) {
         self.kinds.remove(&at);
@@ -171,7 +176,7 @@
             body: Vec::new().into(),
         };
         let backend =
-            Arc::new(Backend { name: "b".into(), addr: "127.0.0.1:1".parse().unwrap(), zone: None });
+            Arc::new(Backend { name: "b".into(), addr: "127.0.0.1:1".parse().unwrap(), zone: None, dest: 1 });
         let at = EndpointId { addr: [0; 4], port: 0 };
         Fetch {
             msg,
--- a/src/core/fetch_calls.rs
+++ b/src/core/fetch_calls.rs
@@ -57,8 +57,7 @@
         self.apply_overrides(now);
         let alive = self.messages.get(&fetch.msg).is_some_and(|m| !m.decided);
         let ends = self.stop_at.is_some_and(|at| now + MIN_TIME_TO_BEGIN >= at);
-        let listed =
-            self.register.front(fetch.req.front).is_some_and(|b| b.accepts_calls(&fetch.backend.name));
+        let listed = self.is_listed_as_ordered(fetch);
         let told_wait =
             self.destination_waits.get(&(fetch.req.front, fetch.req.dest)).is_some_and(|until| now < *until);
         let conditions = [
--- a/src/core/handover.rs
+++ b/src/core/handover.rs
@@ -221,6 +221,7 @@
                         name: open.backend,
                         addr: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
                         zone: open.zone,
+                        dest: req.dest,
                     });
                     let until = req.due;
                     self.predecessor_fetches.insert(
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -117,8 +117,8 @@
     backends: BTreeMap<EndpointId, Arc<Backend>>,
     endpoint_ids: HashMap<(u8, String), EndpointId>,
     next_endpoint_number: u32,
-    /// Removed backends and the time of removal. They are forgotten once no message can refer to them.
-    removed_backends: VecDeque<(Micros, u8, Arc<Backend>)>,
+    /// Removed backends. They are forgotten once no message can refer to them.
+    removed_backends: VecDeque<backend_lists::RemovedBackend>,
     /// The listed backends, the source of each and how far each is trusted.
     register: Registry,
     list_changes: Option<ChangeLog>,
@@ -389,4 +389,6 @@
     pub addr: SocketAddr,
     /// The zone that it is listed in.
     pub zone: Option<ZoneId>,
+    /// Its destination.
+    pub dest: u16,
 }
--- a/src/net/platform/batch.rs
+++ b/src/net/platform/batch.rs
@@ -293,7 +293,7 @@
             body: vec![b'x'; body_len].into(),
         };
         let backend =
-            Arc::new(Backend { name: "b".into(), addr: "127.0.0.1:1".parse().unwrap(), zone: None });
+            Arc::new(Backend { name: "b".into(), addr: "127.0.0.1:1".parse().unwrap(), zone: None, dest: 1 });
         let endpoint = EndpointId { addr: [0; 4], port: 0 };
         Fetch { msg: 0, attempt: 0, endpoint, backend, req: Arc::new(req), deadline: Micros(0) }
     }
--- a/tests/conn.rs
+++ b/tests/conn.rs
@@ -20,7 +20,7 @@
 fn a_connection_belongs_to_its_backend_not_to_its_address() {
     let (client, mut server) = connected_pair();
     let addr = server.local_addr().unwrap();
-    let backend = |name: &str| Arc::new(Backend { name: name.into(), addr, zone: None });
+    let backend = |name: &str| Arc::new(Backend { name: name.into(), addr, zone: None, dest: 1 });
     let conns = FetchConnections::new(Duration::from_secs(60), 8, b"");
     conns.keep(&backend("old"), Arc::new(client), 7);
     assert!(conns.reuse(&backend("new")).is_none());
