Requests of clients that left with much unread are not taken on

Cause: the end of a connection was looked for by a peek, which finds unread input first, and by the poll's event, which a connection that was just accepted or handed over has not had.

The socket is asked for its peer's end itself, before a request is taken and again before its 202 is written. Cost: two poll calls a request in place of one recv.

--- a/src/net/acceptor/connection.rs
+++ b/src/net/acceptor/connection.rs
@@ -1,7 +1,9 @@
 //! The state of one client connection, and the form in which it is exported to another process.
 
 use crate::api::Micros;
+use crate::net::transfer::has_hung_up;
 use mio::net::TcpStream;
+use rustix::io::ioctl_fionread;
 use serde::{Deserialize, Serialize};
 
 /// The state of a client connection in a handover. Together with the connection's descriptor it is all that another process
@@ -55,4 +57,18 @@
     pub(super) fn reads_requests(&self) -> bool {
         self.unsent.is_empty() && !self.close_after_write && self.timer.is_none()
     }
+
+    /// Bytes that the client has sent behind a request, of which `unparsed` are read.
+    pub(super) fn input_behind(&self, unparsed: usize) -> usize {
+        if unparsed == 0 && !self.readable {
+            return 0;
+        }
+        // An error means that the connection is broken, which its next read tells.
+        unparsed + ioctl_fionread(&self.stream).map_or(0, |unread| unread as usize)
+    }
+
+    /// Whether the client has closed the connection or its sending side, also if input before that is still unread.
+    pub(super) fn has_ended(&self) -> bool {
+        self.end_of_input || self.hung_up || has_hung_up(&self.stream)
+    }
 }
--- a/src/net/acceptor/reading.rs
+++ b/src/net/acceptor/reading.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Input behind a request beyond which it is refused: the end of the stream may be behind input for which the socket has no room
+/// yet, so nobody can tell whether the client is still there. Clients of the platform send one request at a time.
+const MAX_PIPELINED_BYTES: usize = 16 * 1024;
 /// The most requests answered in one batch, so that the other connections need not wait for long.
 const MAX_BATCH_REQUESTS: usize = 32;
 
@@ -96,10 +99,9 @@
                 Some(Parsed::Request(request)) => {
                     let reply = self.protocol.closing_reply(CloseReason::Gone);
                     // A connection that was accepted just now has had no event yet that could report its end.
-                    let ended = |c: &Connection<P::Session>| c.stream.peek(&mut [0]).is_ok_and(|n| n == 0);
-                    if !reply.is_empty()
-                        && (connection.end_of_input || connection.hung_up || ended(connection))
-                    {
+                    let may_be_abandoned =
+                        connection.has_ended() || connection.input_behind(left) > MAX_PIPELINED_BYTES;
+                    if !reply.is_empty() && may_be_abandoned {
                         // A client that got no answer in time closes the connection and submits its request elsewhere. A
                         // process that was suspended finds the request followed by the end of the input; if it accepted the
                         // request now, the message would be delivered twice. A client that has closed only its sending side
--- a/src/net/acceptor/responding.rs
+++ b/src/net/acceptor/responding.rs
@@ -12,14 +12,24 @@
         self.stats.largest_batch = self.stats.largest_batch.max(requests.len() as u64);
         let replies = self.protocol.answer(requests);
         let now = self.clock.now();
+        let gone_reply = self.protocol.closing_reply(CloseReason::Gone);
         for (key, reply) in keys.into_iter().zip(replies) {
             let Some(connection) = self.connections.get_mut(&key) else {
                 self.write_results.extend(reply.accepted_message.map(|msg| (msg, false)));
                 continue;
             };
-            connection.unsent.extend(reply.text.as_bytes());
-            connection.unconfirmed_messages.extend(reply.accepted_message);
-            connection.close_after_write |= reply.close;
+            // A client that has left while its request was recorded never reads that its message is accepted.
+            let abandoned =
+                reply.accepted_message.is_some() && !gone_reply.is_empty() && connection.has_ended();
+            if abandoned {
+                self.stats.abandoned += 1;
+                connection.unsent.extend(gone_reply.as_bytes());
+                self.write_results.extend(reply.accepted_message.map(|msg| (msg, false)));
+            } else {
+                connection.unsent.extend(reply.text.as_bytes());
+                connection.unconfirmed_messages.extend(reply.accepted_message);
+            }
+            connection.close_after_write |= reply.close || abandoned;
             self.request_answered(now, key, reply.fault);
         }
         self.report_writes();
--- a/src/net/transfer.rs
+++ b/src/net/transfer.rs
@@ -1,7 +1,10 @@
 //! Non-blocking reads and writes with typed results. Interrupted calls are repeated here.
 
 use super::errors::{fault_of, Fault};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::Errno;
 use std::io::{Read, Write};
+use std::os::fd::AsFd;
 
 /// The result of a read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +34,18 @@
     Broken,
 }
 
+/// Whether the other side has closed the connection or its sending side, however much input is still unread. Input hides the end
+/// of the stream from a read.
+pub fn has_hung_up(stream: &impl AsFd) -> bool {
+    let mut fds = [PollFd::new(stream, PollFlags::RDHUP)];
+    loop {
+        match poll(&mut fds, Some(&Timespec::default())) {
+            Err(Errno::INTR) => {}
+            ready => return ready.is_ok_and(|count| count > 0),
+        }
+    }
+}
+
 /// Reads once.
 pub fn receive(stream: &mut impl Read, into: &mut [u8]) -> Received {
     loop {
--- /dev/null
+++ b/tests/abandoned_requests.rs
@@ -0,0 +1,141 @@
+//! Requests of clients that closed their connection with much still unread: none of them is accepted, by the process that they
+//! were sent to or by the one that takes over from it.
+
+mod support;
+
+use rustix::process::{kill_process, Pid, Signal};
+use std::fs;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::process::{Command, Stdio};
+use std::thread;
+use std::time::Duration;
+use support::crowd::*;
+use support::*;
+
+/// More than the courier reads at once, and less than the sockets' buffers hold.
+const UNREAD_BYTES: usize = 150_000;
+/// Requests of one client that are sent at once: 16 KiB hold so many.
+const TOGETHER: usize = 80;
+/// How long messages that must not be sent get.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+
+/// Stops the process and waits until it has stopped.
+fn suspend(program: &Program) -> Pid {
+    let pid = Pid::from_child(&program.child);
+    kill_process(pid, Signal::STOP).unwrap();
+    let stopped = || {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", program.child.id())).unwrap();
+        stat.rsplit_once(") ").unwrap().1.starts_with('T')
+    };
+    until("the process has stopped", stopped);
+    pid
+}
+
+/// Whole requests, one behind the other, of this length together.
+fn many_requests(prefix: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for n in 0.. {
+        if bytes.len() >= UNREAD_BYTES {
+            break;
+        }
+        bytes.extend(request_text(&format!("{prefix}-{n}")).into_bytes());
+    }
+    bytes
+}
+
+/// One request, and the beginning of a large one behind it.
+fn request_and_half(prefix: &str) -> Vec<u8> {
+    let half = request_text(&format!("{prefix}-half")).replace("Length: 1\r\n\r\nx", "Length: 65536\r\n\r\n");
+    [request_text(&format!("{prefix}-0")).as_bytes(), half.as_bytes(), &[b'x'; 60_000], &[b'y'; 2_000]]
+        .concat()
+}
+
+fn send_and_leave(mut stream: TcpStream, bytes: &[u8]) {
+    // The part that the buffers do not hold is never sent.
+    stream.set_write_timeout(Some(Duration::from_millis(100))).unwrap();
+    let _ = stream.write_all(bytes);
+}
+
+fn assert_none_was_sent(env: &Environment) {
+    thread::sleep(SETTLE_TIME);
+    let sent: Vec<String> = env.delivered().into_keys().filter(|id| id.starts_with("gone")).collect();
+    assert!(sent.is_empty(), "sent on although their clients had left: {sent:?}");
+}
+
+/// Guards against picture (c) of issue 61: the end of a connection was looked for behind its unread input, so the first request
+/// of a client that had sent more than that and left was accepted.
+#[test]
+fn requests_of_a_client_that_left_with_much_unread_are_not_accepted() {
+    let env = environment(256, 64);
+    let (program, addr) = env.start();
+    let mut session = connect(addr);
+    assert_eq!(submit(&mut session, "before"), Response::Status(202));
+    let pid = suspend(&program);
+    send_and_leave(connect(addr), &many_requests("gone-queued"));
+    send_and_leave(connect(addr), &request_and_half("gone-queued-half"));
+    send_and_leave(session, &many_requests("gone-open"));
+    kill_process(pid, Signal::CONT).unwrap();
+    let mut later = connect(addr);
+    assert_eq!(submit(&mut later, "after"), Response::Status(202));
+    until("the later delivery", || env.endpoint.count("after") == 1);
+    assert_none_was_sent(&env);
+}
+
+/// Guards against the same at the other process of an upgrade: it is handed connections whose clients have left.
+#[test]
+fn requests_of_a_client_that_left_are_not_accepted_by_the_next_process() {
+    let mut env = environment(256, 64);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    env.config["listen"] = addr.to_string().into();
+    let mut first = start_with_listener(&env, &listener);
+    first.line("indigohold: ready");
+    let session = connect(addr);
+    let mut half_sent = connect(addr);
+    let whole = request_text("gone-half-sent");
+    half_sent.write_all(&whole.as_bytes()[..whole.len() / 2]).unwrap();
+    let pid = suspend(&first);
+    send_and_leave(session, &many_requests("gone-open"));
+    send_and_leave(connect(addr), &many_requests("gone-queued"));
+    let rest = [&whole.as_bytes()[whole.len() / 2..], &many_requests("gone-behind")].concat();
+    send_and_leave(half_sent, &rest);
+    let mut second = start_with_listener(&env, &listener);
+    kill_process(pid, Signal::CONT).unwrap();
+    second.line("indigohold: ready");
+    let mut later = connect(addr);
+    assert_eq!(submit(&mut later, "after"), Response::Status(202));
+    until("the later delivery", || env.endpoint.count("after") == 1);
+    assert_none_was_sent(&env);
+}
+
+/// Starts a courier that inherits the listener, and takes over from one that has it.
+fn start_with_listener(env: &Environment, listener: &TcpListener) -> Program {
+    let mut command = Command::new("sh");
+    surroundings(&mut command, &env.folder.0, &env.config.to_string());
+    let script = format!("exec '{}' 7<&0 </dev/null", env!("CARGO_BIN_EXE_indigohold"));
+    command.args(["-c", &script]).env("NODE_LISTEN_FD", "7").env("NODE_CONTROL", "127.0.0.1:0");
+    command.stdin(Stdio::from(OwnedFd::from(listener.try_clone().unwrap())));
+    Program::of(command)
+}
+
+/// A client that is there all the time has each of its requests accepted once, also if it sends many at once.
+#[test]
+fn requests_sent_together_are_each_accepted_once() {
+    let env = environment(256, 64);
+    let (_program, addr) = env.start();
+    let accepted = accepted_of(addr, TOGETHER);
+    until("the deliveries", || env.delivered().len() == accepted);
+    assert_eq!(accepted, TOGETHER);
+    assert!(env.delivered().values().all(|count| *count == 1));
+}
+
+/// Sends requests together and reads the answers; returns how many were 202.
+fn accepted_of(addr: SocketAddr, count: usize) -> usize {
+    let mut stream = connect(addr);
+    let all: String = (0..count).map(|n| request_text(&format!("m-{n}"))).collect();
+    stream.write_all(all.as_bytes()).unwrap();
+    let mut reader = std::io::BufReader::new(stream);
+    (0..count).filter(|_| read_http(&mut reader).is_some_and(|answer| answer.status() == 202)).count()
+}
