Answers that stay unread and requests that wait their turn have a bound

Cause: all requests of a read, 72 KB, that the protocol answers itself were answered before anything was written, and input that waited for its turn counted against the limit only where a request was incomplete. Mail commands and DNS over TCP were answered in the same way. Ruled out: incomplete requests (24.8 MB) and heads of short fields (8.9 MB), whose limits hold.

Limits: 16 KiB of unwritten answers a connection, beyond which its further requests wait; a quarter of memory_mb for all input that waits, beyond which a connection is closed after its answer.

--- a/src/net/acceptor/mod.rs
+++ b/src/net/acceptor/mod.rs
@@ -42,6 +42,9 @@
 /// unread input resets the connection, and the client may lose the reply that it was just sent; without a limit, a client that
 /// sends on and on would take processor time from all others.
 const MAX_DISCARDED_BYTES: usize = 72 * 1024;
+/// Output of one connection beyond which none of its further requests is parsed until that output is written. One reply, or the
+/// replies to one request, may go beyond it.
+pub const MAX_UNSENT_BYTES: usize = 16 * 1024;
 /// The longest wait for an event, and the interval at which counters are published.
 const HOUSEKEEPING_INTERVAL: Micros = Micros(250_000);
 
--- a/src/net/acceptor/reading.rs
+++ b/src/net/acceptor/reading.rs
@@ -82,7 +82,8 @@
                 );
                 at += used;
                 match parsed {
-                    Parsed::Answered { fault: false } if used > 0 => {}
+                    Parsed::Answered { fault: false }
+                        if used > 0 && connection.unsent.len() < MAX_UNSENT_BYTES => {}
                     other => result = Some(other),
                 }
             }
@@ -95,6 +96,10 @@
             }
             let (readable, end_of_input, all_parsed) =
                 (connection.readable, connection.end_of_input, left == 0);
+            if left > 0 && self.buffered_bytes > self.max_buffered_bytes {
+                // Requests that wait for their turn take memory like incomplete ones.
+                connection.close_after_write |= matches!(result, Some(Parsed::Answered { .. }));
+            }
             match result {
                 Some(Parsed::Request(request)) => {
                     let reply = self.protocol.closing_reply(CloseReason::Gone);
--- a/src/net/acceptor/responding.rs
+++ b/src/net/acceptor/responding.rs
@@ -29,7 +29,10 @@
                 connection.unsent.extend(reply.text.as_bytes());
                 connection.unconfirmed_messages.extend(reply.accepted_message);
             }
-            connection.close_after_write |= reply.close || abandoned;
+            // Input beyond the limit is not kept for later: the client sends it again.
+            let is_over_limit =
+                !connection.unparsed.is_empty() && self.buffered_bytes > self.max_buffered_bytes;
+            connection.close_after_write |= reply.close || abandoned || is_over_limit;
             self.request_answered(now, key, reply.fault);
         }
         self.report_writes();
--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -10,7 +10,7 @@
 use super::{Mail, FRONT};
 use crate::api::Micros;
 use crate::core::{Answer, Req};
-use crate::net::acceptor::{ClientProtocol, CloseReason, Parsed, Reply};
+use crate::net::acceptor::{ClientProtocol, CloseReason, Parsed, Reply, MAX_UNSENT_BYTES};
 use smtp_proto::{Request, MAIL_BODY_BINARYMIME, MAIL_BY_RETURN};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -97,6 +97,9 @@
     fn hear<A>(mut self, bytes: &[u8], out: &mut Vec<u8>) -> (usize, Parsed<A>) {
         let (mut used, mut said) = (0, false);
         loop {
+            if out.len() >= MAX_UNSENT_BYTES {
+                return (used, Parsed::Answered { fault: false });
+            }
             if let Some(text) = &mut self.talk.text {
                 let (n, ended) = text.push(&bytes[used..]);
                 used += n;
