The header of a mail is read once, whatever the number of its recipients

Cause: the header was read twice for each recipient, with two allocations for each field, on the listener's one thread. It is read once now, and only the fields that are used are kept; ids are hashed as before. Limit: none of its own (message_bytes, 100 recipients).

--- a/src/net/mail/server.rs
+++ b/src/net/mail/server.rs
@@ -6,7 +6,7 @@
 use super::config::Partner;
 use super::dns::zone::Protocol;
 use super::lines::{self, BadLine, BadText, Text};
-use super::message::{domain_of, header_field, hop_count, is_plain_address, message_id};
+use super::message::{domain_of, is_plain_address, Header};
 use super::{Mail, FRONT};
 use crate::api::Micros;
 use crate::core::{Answer, Req};
@@ -260,16 +260,17 @@
     /// Answers the text, whatever is wrong with it; `false`: nothing after it can be trusted.
     fn text(&mut self, out: &mut Vec<u8>) -> bool {
         let Some(text) = self.talk.text.take() else { return true };
+        let header = Header::read(&text.bytes);
         let fault = match text.bad {
             Some(BadText::Bare) => Some("554 5.6.0 lines end in CR LF and nothing else"),
             Some(BadText::Line) => Some("554 5.6.0 a line is too long"),
             Some(BadText::Size) => Some("552 5.3.4 message too big"),
-            None if hop_count(&text.bytes) > HOPS_MOST => Some("554 5.4.6 too many hops"),
+            None if header.hop_count > HOPS_MOST => Some("554 5.4.6 too many hops"),
             None => None,
         };
         let replies = match fault {
             Some(fault) => vec![fault; if self.protocol == Protocol::Lmtp { self.talk.to.len() } else { 1 }],
-            None => self.hand_in(&text.bytes),
+            None => self.hand_in(&header, &text.bytes),
         };
         self.reset();
         replies.iter().for_each(|reply| say(out, reply));
@@ -284,8 +285,8 @@
     /// One req for each recipient. LMTP answers for each by itself; SMTP has one answer for all, so there all
     /// are taken or none. What is taken stands, even if the reply is lost: the client hands it in again, and it
     /// is recognised.
-    fn hand_in(&self, text: &[u8]) -> Vec<&'static str> {
-        let reqs: Vec<Option<Req>> = self.talk.to.iter().map(|to| self.req(to, text)).collect();
+    fn hand_in(&self, header: &Header, text: &[u8]) -> Vec<&'static str> {
+        let reqs: Vec<Option<Req>> = self.talk.to.iter().map(|to| self.req(to, header, text)).collect();
         let known: Vec<bool> = reqs.iter().map(Option::is_some).collect();
         let mut answers = self.mail.courier.hand_in(reqs.into_iter().flatten().collect()).into_iter();
         let mut taken = Vec::new();
@@ -317,17 +318,17 @@
         replies
     }
 
-    fn req(&self, to: &str, text: &[u8]) -> Option<Req> {
+    fn req(&self, to: &str, header: &Header, text: &[u8]) -> Option<Req> {
         let (mail, partner) = (self.mail, self.partner(to)?);
         let (from, tenant, by) = self.talk.from.clone()?;
-        let class = match header_field(text, "req-kind") {
+        let class = match &header.class_name {
             None => partner.class,
-            Some(name) => *mail.config.classes.get(&name)?,
+            Some(name) => *mail.config.classes.get(name)?,
         };
         let now = mail.courier.clock.now();
         let deadline = now + mail.config.deadlines[usize::from(class)];
         let envelope = Envelope { from, to: to.to_owned() };
-        let id = message_id(&envelope, text);
+        let id = header.message_id(&envelope, text);
         let trace = format!(
             "Received: from {} ({})\r\n\tby {} with {} id {id};\r\n\t{}\r\n",
             self.talk.hello.as_deref().unwrap_or("unknown"),
