A source that holds all places of a mail listener makes room for others

Cause: where no connection could be closed for its age, a new one was refused before the listener looked where it came from. It is accepted now, and if another source holds more than source_share of the places, that source's oldest connection is closed for it, unless a whole request of it is being answered. The places of mail depend on memory now: a quarter of memory_mb by message_bytes and two listeners (30 with 64 MB, 64 as before from 135 MB on). Beyond it: 421. A flood from the honest client's own address still takes its places.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -239,11 +239,25 @@
         }
     }
 
-    fn eviction_candidate(&self, now: Micros, urgent: bool) -> Option<u64> {
+    /// The source that holds more than its share of all places, if one does.
+    fn source_over_share(&self) -> Option<Source> {
         let share = (self.rules.max_connections as f64 * self.rules.max_source_share) as usize;
-        let over_share =
-            self.sources_by_count.last().filter(|(n, _)| self.sources_by_count.len() > 1 && *n > share);
-        let Some((_, source)) = over_share else {
+        self.sources_by_count.last().filter(|(count, _)| *count > share).map(|(_, source)| *source)
+    }
+
+    /// The connection to close in favour of a new one from this address although none can be evicted by its age: the oldest of
+    /// another source that holds more than its share, unless a complete request of it is being answered.
+    pub fn over_share_candidate(&self, from: IpAddr) -> Option<u64> {
+        use ConnState::*;
+        let source = self.source_over_share().filter(|source| *source != Source::of(from))?;
+        let queues = self.by_source.get(&source)?;
+        let oldest = [Silent, Receiving, IdleAfterOne, IdleAfterMore].map(|state| queues.oldest(state));
+        oldest.into_iter().flatten().min().map(|(_, key)| key)
+    }
+
+    fn eviction_candidate(&self, now: Micros, urgent: bool) -> Option<u64> {
+        let over_share = self.source_over_share().filter(|_| self.sources_by_count.len() > 1);
+        let Some(source) = over_share else {
             return self.all.eviction_candidate(now, &self.rules, urgent);
         };
         // The connections of a flood are all recent, so that by age alone those of other sources would be evicted for
@@ -251,7 +265,7 @@
         let without_idle_grace = Rules { idle_grace: Micros(0), ..self.rules.clone() };
         let own = self
             .by_source
-            .get(source)
+            .get(&source)
             .and_then(|queues| queues.eviction_candidate(now, &without_idle_grace, urgent));
         own.or_else(|| urgent.then(|| self.all.eviction_candidate(now, &self.rules, true)).flatten())
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -234,7 +234,8 @@
     }
     if let Some(mail_config) = mail_config {
         let listeners = mail::bind(&mail_config, admission.mail.backlog)?;
-        let (mail, front) = mail::start(&courier, mail_config, slots, &state, admission.mail)?;
+        let (mail, front) =
+            mail::start(&courier, mail_config, slots, &state, admission.mail, config.limits.memory_bytes)?;
         fronts.push(front);
         acceptors.push(mail.door.clone());
         let shared = mail.clone();
@@ -264,8 +265,7 @@
     let gossip = peers.clone();
     let health = peers.as_ref().and_then(|peers| peers.shared.clone());
     net::spawn("dispatch", move || net::dispatch(&shared, &fronts, gossip.as_ref())).map_err(start_error)?;
-    let serving = Arc::new(AtomicBool::new(false));
-    let ends_forwarded = Arc::new(AtomicBool::new(false));
+    let (serving, ends_forwarded) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let fleet = match asks {
         Some(asks) => {
             let descriptors = config.limits.descriptors / ASK_DIVISOR;
--- a/src/net/acceptor/accepting.rs
+++ b/src/net/acceptor/accepting.rs
@@ -1,6 +1,7 @@
 //! Accepts new connections, and closes connections in favour of others or when their time limit has passed.
 
 use super::*;
+use std::net::SocketAddr;
 
 /// The most connections accepted in one round, so that the connections that are open need not wait for long; also the most
 /// that are closed in one round for outgoing calls.
@@ -41,7 +42,7 @@
                 Decision::WaitUntil(until) => {
                     self.stats.deferred += 1;
                     match self.protocol.refusal() {
-                        Some(reply) => self.refuse(reply),
+                        Some(reply) => self.accept_over_share(now, reply),
                         None => {
                             self.accept_paused_until = Some(until.max(now + Micros(1_000)));
                             return;
@@ -54,43 +55,63 @@
 
     fn accept(&mut self, now: Micros) {
         match self.listener.accept() {
-            Ok((mut stream, from)) => {
-                let (key, token) = (self.next_key, Token(self.next_key as usize));
-                let interest = Interest::READABLE | Interest::WRITABLE;
-                // Without it the kernel may delay small writes; that is no reason to refuse the client.
-                let _ = stream.set_nodelay(true);
-                // A connection that can't be registered is closed with nothing read, so its client sends the request again.
-                if self.poll.registry().register(&mut stream, token, interest).is_err() {
-                    return;
-                }
-                self.next_key += 1;
-                self.stats.accepted += 1;
-                let mut unsent = Vec::new();
-                let session = self.protocol.open(from, &mut unsent);
-                let connection = Connection {
-                    stream,
-                    session,
-                    unparsed: Vec::new(),
-                    unsent,
-                    unconfirmed_messages: Vec::new(),
-                    readable: false,
-                    may_parse: false,
-                    hung_up: false,
-                    end_of_input: false,
-                    close_after_write: false,
-                    discard_left: None,
-                    timer: None,
-                };
-                self.connections.insert(key, connection);
-                self.admission.connected(now, key, from.ip());
-                self.open_count.store(self.connections.len(), Ordering::SeqCst);
-                self.flush(now, key);
-                self.mark_readable(key);
-            }
+            Ok((stream, from)) => self.add_connection(now, stream, from),
             Err(e) => self.accept_failed(now, &e),
         }
     }
 
+    fn add_connection(&mut self, now: Micros, mut stream: TcpStream, from: SocketAddr) {
+        let (key, token) = (self.next_key, Token(self.next_key as usize));
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        // Without it the kernel may delay small writes; that is no reason to refuse the client.
+        let _ = stream.set_nodelay(true);
+        // A connection that can't be registered is closed with nothing read, so its client sends the request again.
+        if self.poll.registry().register(&mut stream, token, interest).is_err() {
+            return;
+        }
+        self.next_key += 1;
+        self.stats.accepted += 1;
+        let mut unsent = Vec::new();
+        let session = self.protocol.open(from, &mut unsent);
+        let connection = Connection {
+            stream,
+            session,
+            unparsed: Vec::new(),
+            unsent,
+            unconfirmed_messages: Vec::new(),
+            readable: false,
+            may_parse: false,
+            hung_up: false,
+            end_of_input: false,
+            close_after_write: false,
+            discard_left: None,
+            timer: None,
+        };
+        self.connections.insert(key, connection);
+        self.admission.connected(now, key, from.ip());
+        self.open_count.store(self.connections.len(), Ordering::SeqCst);
+        self.flush(now, key);
+        self.mark_readable(key);
+    }
+
+    /// Accepts a connection for which there is no place. If another source holds more than its share, one of that source's
+    /// connections is closed for it; otherwise it is refused.
+    fn accept_over_share(&mut self, now: Micros, refusal: &str) {
+        let (mut stream, from) = match self.listener.accept() {
+            Ok(accepted) => accepted,
+            Err(e) => return self.accept_failed(now, &e),
+        };
+        let Some(key) = self.admission.over_share_candidate(from.ip()) else {
+            // The connection is new, so this short reply fits into its send buffer. An error means that the client is gone.
+            return drop(stream.write(refusal.as_bytes()));
+        };
+        if let Some(state) = self.admission.state(key) {
+            *self.stats.evicted.entry(state).or_default() += 1;
+            self.close_with_reply(key, state);
+        }
+        self.add_connection(now, stream, from);
+    }
+
     fn accept_failed(&mut self, now: Micros, e: &io::Error) {
         match accept_fault(e) {
             AcceptFault::QueueEmpty => self.accept_ready = false,
--- a/src/net/mail/mod.rs
+++ b/src/net/mail/mod.rs
@@ -30,6 +30,10 @@
 pub const FRONT: u8 = 1;
 /// What sessions may hold that is half sent: command lines and questions. Texts are counted by themselves.
 const HELD_MOST: usize = 64 * 16 * 1024;
+/// All memory divided by this is the share for message texts that are coming in.
+const SESSIONS_MEMORY_DIVISOR: usize = 4;
+/// Listeners whose sessions send texts: SMTP and LMTP.
+const LISTENERS: usize = 2;
 /// How long an idle connection to a partner is kept: servers wait for minutes.
 const KEEP: Duration = Duration::from_secs(20);
 /// How often the zone files are looked at.
@@ -48,6 +52,8 @@
     /// Client sessions.
     pub door: AcceptorHandle,
     admission: FrontendAdmission,
+    /// Sessions of one listener for which there is memory.
+    max_sessions: usize,
     zones: OnceLock<Zones>,
 }
 
@@ -61,10 +67,12 @@
 /// Starts the front, all but its listeners.
 pub fn start(
     courier: &Arc<Courier>, config: MailConfig, slots: usize, state: &Path, admission: FrontendAdmission,
+    memory_bytes: usize,
 ) -> Result<(Arc<Mail>, Frontend), String> {
     let conns = Arc::new(FetchConnections::new(KEEP, 64, b"QUIT\r\n"));
     let mail = Arc::new(Mail {
         courier: courier.clone(),
+        max_sessions: memory_bytes / SESSIONS_MEMORY_DIVISOR / LISTENERS / config.message_bytes.max(1),
         config,
         pool: BufferPool::new(16),
         conns: conns.clone(),
@@ -165,7 +173,7 @@
 fn seat<F: ClientProtocol>(
     mail: &Mail, name: &'static str, listener: TcpListener, clients: F,
 ) -> io::Result<()> {
-    let rules = mail.admission.rules(usize::MAX);
+    let rules = mail.admission.rules(mail.max_sessions);
     let room = BufferLimits { total: HELD_MOST, per_connection: BUFFER_BYTES };
     let acceptor =
         ConnectionAcceptor::new(name, clients, listener, &mail.door, mail.courier.clock, rules, room)?;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -252,3 +252,26 @@
     assert!(open.len() > 100, "connections of the flood: {}", open.len());
     assert!((0..4).all(|key| admission.state(key).is_some()));
 }
+
+/// Guards against a source that holds all places with requests that it never completes: a connection from elsewhere takes one of
+/// them whatever its age, and another of that source does not.
+#[test]
+fn a_source_over_its_share_makes_room_for_others_at_once() {
+    let mut admission = Admission::new(rules(8));
+    for key in 0..8 {
+        admission.connected(Micros(key), key, from(2));
+        admission.partial_request(Micros(10 + key), key);
+    }
+    assert!(matches!(admission.decide(Micros(100)), Decision::WaitUntil(_)));
+    assert_eq!(
+        (admission.over_share_candidate(from(1)), admission.over_share_candidate(from(2))),
+        (Some(0), None)
+    );
+    // What is being answered is spared.
+    admission.complete_request(Micros(101), 0);
+    assert_eq!(admission.over_share_candidate(from(1)), Some(1));
+    for key in 1..5 {
+        admission.closed(key);
+    }
+    assert_eq!(admission.over_share_candidate(from(1)), None, "four of eight places are its share");
+}
