--- a/tests/abandoned_requests.rs
+++ b/tests/abandoned_requests.rs
@@ -16,6 +16,11 @@
 
 /// More than the courier reads at once, and less than the sockets' buffers hold.
 const UNREAD_BYTES: usize = 150_000;
+/// How long a call takes: an id comes again before that.
+const CALL_TIME: Duration = Duration::from_millis(300);
+/// Ids that come again, and upgrades meanwhile.
+const IDS: usize = 200;
+const UPGRADES: usize = 3;
 /// Requests of one client that are sent at once: 16 KiB hold so many.
 const TOGETHER: usize = 80;
 /// How long messages that must not be sent get.
@@ -120,6 +125,56 @@
     Program::of(command)
 }
 
+/// Guards against an id that runs twice when it comes again after its client has left: while its message is owed, by the process
+/// that has it or by the one that takes over.
+#[test]
+fn an_id_that_comes_again_while_its_message_is_owed_runs_once_also_over_an_upgrade() {
+    let mut env = environment(256, 64);
+    let slow = endpoint(|_, _| {
+        thread::sleep(CALL_TIME);
+        Act::Answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    });
+    env.set_endpoints(&[instance("s-0", slow.addr, 3, "up").replace("50.0", "50000.0")]);
+    env.config["settings"]["profiles"][0]["idempotency"] = "side_effect".into();
+    // A call is not given up before it is answered.
+    env.config["settings"]["profiles"][0]["aim"] = 10_000_000.into();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    env.config["listen"] = addr.to_string().into();
+    let mut first = start_with_listener(&env, &listener);
+    first.line("indigohold: ready");
+    // Each one lives on until its calls have ended.
+    let mut processes = vec![first];
+    let client = thread::spawn(move || {
+        for n in 0..IDS {
+            let text = request_text(&format!("again-{n}"));
+            let mut leaving = connect(addr);
+            leaving.write_all(text.as_bytes()).unwrap();
+            // From at once to after the answer was written.
+            thread::sleep(Duration::from_micros(100 * (n as u64 % 20)));
+            drop(leaving);
+            thread::sleep(Duration::from_millis(5));
+            while submit(&mut connect(addr), &format!("again-{n}")) != Response::Status(202) {
+                thread::sleep(Duration::from_millis(2));
+            }
+        }
+    });
+    for _ in 0..UPGRADES {
+        thread::sleep(Duration::from_millis(400));
+        let mut next = start_with_listener(&env, &listener);
+        next.line("indigohold: ready");
+        processes.push(next);
+    }
+    client.join().unwrap();
+    let all_ran = || (0..IDS).all(|n| slow.count(&format!("again-{n}")) > 0);
+    until("every message has run", all_ran);
+    thread::sleep(SETTLE_TIME);
+    let counts = slow.call_counts.lock().unwrap();
+    let twice: Vec<_> = counts.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(twice.is_empty(), "{twice:?}");
+    drop(processes);
+}
+
 /// A client that is there all the time has each of its requests accepted once, also if it sends many at once.
 #[test]
 fn requests_sent_together_are_each_accepted_once() {
