--- a/src/register/kept_changes.rs
+++ b/src/register/kept_changes.rs
@@ -30,7 +30,7 @@
     sequence: u64,
     /// Discovery's version of the list with this change.
     generation: u64,
-    /// When discovery told it, in milliseconds since 1970.
+    /// When discovery sent it, in milliseconds since 1970.
     confirmed_ms: u64,
     /// The changed endpoints; `removed` ones are no longer listed.
     #[serde(default)]
