--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -108,7 +109,11 @@
     }
 
     /// The program by a command of its own, in [`surroundings`].
+    ///
+    /// It is in a process group of its own: the kernel continues the stopped members of a group whose last parent outside of it
+    /// ends, as that of the tests does when they run in the background of a shell that ends.
     pub fn of(mut command: Command) -> Program {
+        command.process_group(0);
         let mut child = command.spawn().unwrap();
         let (to, log) = channel();
         let err = child.stderr.take().unwrap();
