The last good content of the static file holds over a restart

Cause: the content was kept in the process alone.

It is copied to the state folder before it takes effect, and a process whose first read fails goes by the copy, if it is of the same path. Both files that are looked at again and again, this and the zones', now tell versions apart in one place (src/file_version.rs). The room of the state folder is added up once.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::register::kept_changes;
 use crate::register::kept_copy::{KeptCopyRules, KeptCopyWriter};
 use crate::register::list::ParsedList;
-use crate::register::static_file::StaticFile;
+use crate::register::static_file::{self, StaticFile};
 use crate::store::{owner, Journal, StartMode};
 use crate::upgrade::{self, inherited_socket};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -104,14 +104,16 @@
     let state_error = |e: &dyn std::fmt::Display| format!("NODE_STATE: {}: {e}", state.display());
     let override_bytes = if admin_addr.is_some() { admin_overrides::MAX_DISK_BYTES } else { 0 };
     let history_bytes = history.as_ref().map_or(0, |h| h.disk);
+    let static_bytes = register.static_file.as_ref().map_or(0, |_| static_file::COPY_DISK_BYTES);
     let other_bytes = zone_bytes
-        + copy_bytes
+        + static_bytes
         + drain_bytes
         + override_bytes
+        + history_bytes
         + owner::OWNER_FILE_DISK_BYTES
         + memory::MAX_FOLDER_BYTES
         + anchor::DISK_BYTES;
-    let journal_bytes = disk_bytes.saturating_sub(other_bytes + history_bytes);
+    let journal_bytes = disk_bytes.saturating_sub(other_bytes + copy_bytes);
     if history_bytes > 0 && journal_bytes < MIN_JOURNAL_BYTES {
         return Err(format!(
             "{}: disk_kb: {} KiB of {} MB leave the journal less than {} KB",
@@ -197,7 +199,7 @@
             courier.report(Report::List { front, update });
         }
         if let Some(file) = register.static_file {
-            let mut file = StaticFile::new(file);
+            let mut file = StaticFile::new(file, &state);
             file.read_if_changed(now).into_iter().for_each(report);
             static_file = Some(file);
         }
@@ -379,14 +381,11 @@
             // After an error it is tried again in the next round.
             let _ = anchor.write();
             if let Some(writer) = &mut copy_writer {
-                let other_bytes = zone_bytes
-                    + drain_bytes
-                    + override_bytes
-                    + memory::MAX_FOLDER_BYTES
-                    + anchor::DISK_BYTES
-                    + kept_changes::MAX_LOG_BYTES
-                    + history_bytes;
-                keep_list(&courier, writer, disk_bytes.saturating_sub(other_bytes));
+                keep_list(
+                    &courier,
+                    writer,
+                    disk_bytes.saturating_sub(other_bytes + kept_changes::MAX_LOG_BYTES),
+                );
             }
             if let Some(update) = static_file
                 .as_mut()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod core;
 pub mod daemon;
 pub mod drain;
+mod file_version;
 pub mod history;
 pub mod json;
 pub mod log;
--- a/src/net/mail/dns/server.rs
+++ b/src/net/mail/dns/server.rs
@@ -3,23 +3,13 @@
 use super::kept_zone::{read_file, KeepError, KeptZone, Origin, MAX_ZONE_BYTES};
 use super::update;
 use super::zone::{MailBackend, Zone};
+use crate::file_version::FileVersion;
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::{DNSClass, Name, Record, RecordType};
 use std::fs;
 use std::net::{IpAddr, UdpSocket};
-use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::SystemTime;
-
-/// What distinguishes two versions of a file. Two that are put in place within one tick of the file system's clock have the same
-/// time.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct FileVersion {
-    modified: SystemTime,
-    length: u64,
-    inode: u64,
-}
 
 struct Kept {
     zone: Zone,
@@ -61,7 +51,7 @@
             let kept_zone = KeptZone::new(&dir, origin);
             kept_zone.adopt(&dir, position, origin);
             // The version is taken first: a file that changes while it is read is read again.
-            let file_version = file_version(file);
+            let file_version = FileVersion::of(file).ok();
             let zone = open_zone(file, origin, &kept_zone)?;
             kept.push(Kept { zone, file: file.clone(), kept_zone, file_version });
         }
@@ -85,7 +75,7 @@
     pub fn reload(&self) {
         let mut changed = false;
         for kept in self.kept().iter_mut() {
-            let now = file_version(&kept.file);
+            let now = FileVersion::of(&kept.file).ok();
             if now == kept.file_version {
                 continue;
             }
@@ -230,8 +220,3 @@
 fn log_not_kept(file: &Path, e: &KeepError) {
     tracing::error!(target: "zones", "{}: {e}; a start while the file is bad would not know this version", file.display());
 }
-
-fn file_version(path: &Path) -> Option<FileVersion> {
-    let metadata = fs::metadata(path).ok()?;
-    Some(FileVersion { modified: metadata.modified().ok()?, length: metadata.len(), inode: metadata.ino() })
-}
--- a/tests/zone_files.rs
+++ b/tests/zone_files.rs
@@ -178,6 +178,20 @@
     assert!(knows(&zones.open(&["a.example"]).unwrap(), "two.a.example."));
 }
 
+/// Guards against a version that is never read, as it was put in place within the tick of the clock in which the one before was.
+#[test]
+fn a_zone_file_with_the_time_of_the_one_before_is_read() {
+    let zones = ZoneFolder::new();
+    let path = zones.path("a.example");
+    put(&zones.folder, "a.example", zone_text(1, "one IN A 127.0.0.1\n"));
+    let time = fs::metadata(&path).unwrap().modified().unwrap();
+    let running = zones.open(&["a.example"]).unwrap();
+    put(&zones.folder, "a.example", zone_text(2, "two IN A 127.0.0.1\n"));
+    fs::File::options().append(true).open(&path).unwrap().set_modified(time).unwrap();
+    running.reload();
+    assert!(knows(&running, "two.a.example."));
+}
+
 /// A start goes by the file wherever it can be read, as before: the copy stands in for a bad one only.
 #[test]
 fn a_sound_file_goes_before_the_copy_of_an_earlier_version() {
